--- a/integration/jobs/test.ts
+++ b/integration/jobs/test.ts
@@ -62,20 +62,20 @@
     expect((await deployment.ask('GET', `/other/${id}`)).status).to.equal(404)
   })
 
-  it('starts nothing more of a cancelled job once the starts that were on their way have arrived', async () => {
+  it('starts nothing more of a job once its cancellation is acknowledged', async () => {
     const id = await submit(200)
+    const count = (): number => workers.reduce((sum, { starts }) => sum + [...starts.keys()].filter((task) => task.startsWith(id)).length, 0)
     expect((await deployment.ask('DELETE', `/queue/${id}`)).status).to.equal(200)
+    const atAcknowledgement = count()
     expect(await stateOf(id)).to.equal('cancelled')
-    const count = (): number => workers.reduce((sum, { starts }) => sum + [...starts.keys()].filter((task) => task.startsWith(id)).length, 0)
     const passJob = async (): Promise<void> => {
       const other = await submit()
       await until(async () => await stateOf(other) === 'completed')
     }
     await passJob()
-    const before = count()
     await passJob()
-    expect(count()).to.equal(before)
-    expect(before).to.be.below(200)
+    expect(count()).to.equal(atAcknowledgement)
+    expect(atAcknowledgement).to.be.below(200)
   })
 
   it('refuses what it cannot read and changes nothing', async () => {
--- a/src/batch/desk/index.ts
+++ b/src/batch/desk/index.ts
@@ -1,4 +1,5 @@
 /** Answers requests in the leader's term. */
+import type { Millis } from '../../clock/index.js'
 import type { TermContext } from '../leader/context.js'
 import { matchQueue } from '../matchQueue/index.js'
 import type { ControlAnswer, ControlRequest } from '../requests.js'
@@ -9,6 +10,9 @@
 
 const JOB_ID = /^[0-9a-f]{16}$/i
 
+/** A cancellation's answer waits this long for starts of the job that are under way; a worker answers within milliseconds. */
+const SETTLE_STARTS_MS: Millis = 300
+
 const UNCLEAR_REASON = 'the leader lease is not confirmed'
 
 type RequestOf<K extends ControlRequest['kind']> = Extract<ControlRequest, { readonly kind: K }>
@@ -104,7 +108,7 @@
   }
 
   async #cancel ({ host, path }: RequestOf<'cancel'>): Promise<ControlAnswer> {
-    const { state, propose, log } = this.#context
+    const { clock, state, propose, log, signal } = this.#context
     const found = this.#findQueue(host, path)
     if ('kind' in found) return found
     const job = state.data.jobs.get(found.id)
@@ -113,6 +117,7 @@
       await propose('cancel', { ids: [job.id] })
       log.info('job.cancelled', { job: job.id, queue: found.queue.name })
       this.#listener.onWork()
+      await Promise.race([this.#registry.settleStarts(job.id), clock.sleep(SETTLE_STARTS_MS, signal)])
     }
     return { kind: 'accepted' }
   }
--- a/src/batch/scheduler/index.ts
+++ b/src/batch/scheduler/index.ts
@@ -10,6 +10,7 @@
 import type { TermContext } from '../leader/context.js'
 import { loadOf, measureDemand, type MeasuredJob } from '../measureDemand/index.js'
 import { orderJobs } from '../orderJobs/index.js'
+import { createPoolWorker } from '../poolWorker/index.js'
 import { planStarts, type PlannedStart, type PoolWorker, type StartGroup } from '../planStarts/index.js'
 import type { RunStats } from '../runStats/index.js'
 import { queueKey } from '../state/handlers.js'
@@ -286,9 +287,7 @@
       const runs = state.runsOn(key)
       const startsLeft = this.#stats.startsAllowed(key, clock.now(), runs.size)
       if (startsLeft === 0) continue
-      const worker: PoolWorker = { key, zone: record.zone, labels: record.labels, room: record.room, free: { ...record.room }, perStep: new Map(), startsLeft, slowness: this.#stats.slownessOf(key) }
-      for (const task of runs.keys()) takeRoom(worker, task, state.data.jobs)
-      pool.push(worker)
+      pool.push(createPoolWorker(session, state, { startsLeft, slowness: this.#stats.slownessOf(key) }))
     }
     return pool
   }
@@ -312,14 +311,3 @@
 function recordOf (job: JobRecord, place: TaskPlace): TaskRecord | undefined {
   return job.occurrences.get(place.occurrence)?.[place.step]?.tasks[place.index]
 }
-
-function takeRoom (worker: PoolWorker, task: string, jobs: ReadonlyMap<string, JobRecord>): void {
-  const place = parseTask(task)
-  const step = place === null ? undefined : jobs.get(place.job)?.steps[place.step]
-  if (place === null || step === undefined) return
-  worker.free.memory -= step.memory
-  worker.free.accelerators -= step.accelerators
-  if (!step.isFiller) worker.free.cpu -= step.cpu
-  const stepKey = `${place.job}.${place.occurrence}.${place.step}`
-  worker.perStep.set(stepKey, (worker.perStep.get(stepKey) ?? 0) + 1)
-}
--- a/src/batch/state/index.ts
+++ b/src/batch/state/index.ts
@@ -1,7 +1,7 @@
 /** The replicated state of jobs, with the indexes that follow from it. */
 import { Packr } from 'msgpackr/pack'
 import type { StateMachine } from '../../consensus/types.js'
-import { formatTask } from '../types.js'
+import { formatTask, parseTask } from '../types.js'
 import { BATCH_HANDLERS, type StateObserver } from './handlers.js'
 import type { ActiveRun, BatchCommand, BatchData, JobRecord } from './records.js'
 
@@ -63,6 +63,20 @@
     return this.#runs.get(worker) ?? NO_RUNS
   }
 
+  /**
+   * Tells whether a run that was placed is still to be started: its job goes on, and no end of it was noted.
+   *
+   * @param task - name of the task
+   * @param run - its run
+   */
+  isWanted (task: string, run: number): boolean {
+    const place = parseTask(task)
+    const job = place === null ? undefined : this.#data.jobs.get(place.job)
+    if (place === null || job?.state !== 'active') return false
+    const record = job.occurrences.get(place.occurrence)?.[place.step]?.tasks[place.index]
+    return record !== undefined && !record.isDone && record.active.some((active) => active.run === run)
+  }
+
   /** Keys of the workers that may have runs, known or dismissed. */
   get workersWithRuns (): Iterable<string> {
     return this.#runs.keys()
--- a/src/upkeep/emptier/index.ts
+++ b/src/upkeep/emptier/index.ts
@@ -1,20 +1,32 @@
 /** Empties machines that are to go into upkeep or to another pool: new work is kept away, and what can move is moved. */
 import type { Millis } from '../../clock/index.js'
 import type { TermContext } from '../../batch/leader/context.js'
+import { planStarts, type Startable } from '../../batch/planStarts/index.js'
+import { createPoolWorker } from '../../batch/poolWorker/index.js'
 import type { JobRecord } from '../../batch/state/records.js'
-import { parseTask, type Step, type TaskPlace } from '../../batch/types.js'
+import { formatTask, parseTask, type Step, type TaskPlace } from '../../batch/types.js'
 import type { WorkerRegistry } from '../../workers/registry/index.js'
 import type { WorkerSession } from '../../workers/session/index.js'
 
 /** Work that can't save its progress may go on for this long on a machine that is to be emptied. */
 const PATIENCE_MS: Millis = 2600
 
+/** A task that lasts and fits on no other worker is stopped after this time: as long as an upkeep and a move beside it take. */
+const PLACELESS_PATIENCE_MS: Millis = 5000
+
 /** A run that saves its progress is left alone when it is this far. */
 const NEARLY_DONE_PERCENT = 85
 
 /** A task that lasts is at work when it is this far. */
 const AT_WORK_PERCENT = 100
 
+/** A task that lasts and is not at work. */
+interface AwayTask {
+  readonly task: string
+  /** It has been given a worker already. */
+  readonly hasPlace: boolean
+}
+
 /** Keeps the machines that are being emptied in one term. */
 export class Emptier {
   readonly #context: TermContext
@@ -70,7 +82,7 @@
   advance (session: WorkerSession): boolean {
     const { clock, state, log } = this.#context
     const runs = state.runsOn(session.key)
-    const patienceOver = clock.now() - (this.#since.get(session.record.machine) ?? clock.now()) > PATIENCE_MS
+    const waitedMs = clock.now() - (this.#since.get(session.record.machine) ?? clock.now())
     for (const [task, { run }] of runs) {
       const order = session.orders.get(task)
       if (order === undefined || order.isStopWanted) continue
@@ -79,8 +91,8 @@
       const step = job?.steps[place.step]
       if (job === undefined || step === undefined) continue
       const mayStop = step.isLasting
-        ? this.#mayMove(job, place, step)
-        : (step.isCheckpointable && order.percent < NEARLY_DONE_PERCENT) || patienceOver
+        ? this.#mayMove(job, place, step, session.record.service, waitedMs > PLACELESS_PATIENCE_MS)
+        : (step.isCheckpointable && order.percent < NEARLY_DONE_PERCENT) || waitedMs > PATIENCE_MS
       if (!mayStop) continue
       log.info('run.stopping', { task, run, worker: session.key, reason: 'its machine is to be emptied' })
       void session.stop(task, run)
@@ -88,17 +100,36 @@
     return this.isEmpty(session)
   }
 
-  /** Whether a task that lasts may be stopped: so many others of its step must be at work. */
-  #mayMove (job: JobRecord, place: TaskPlace, step: Step): boolean {
-    if (step.maxUnavailable === 0) return true
+  /** Whether a task that lasts may be stopped: enough others of its step are at work, and it has a place to go on. */
+  #mayMove (job: JobRecord, place: TaskPlace, step: Step, service: string, isPatienceOver: boolean): boolean {
+    const away = this.#listAway(job, place)
+    if (step.maxUnavailable > 0 && away.length >= step.maxUnavailable) return false
+    const placeless = away.filter(({ hasPlace }) => !hasPlace).map(({ task }) => task)
+    return isPatienceOver || this.#canPlace(step, [...placeless, formatTask(place)], service)
+  }
+
+  /** Other tasks of a step that are not at work. */
+  #listAway (job: JobRecord, place: TaskPlace): AwayTask[] {
     const tasks = job.occurrences.get(place.occurrence)?.[place.step]?.tasks ?? []
-    let away = 0
-    tasks.forEach((task, index) => {
+    const away: AwayTask[] = []
+    tasks.forEach((record, index) => {
       if (index === place.index) return
-      const active = task.active[0]
-      const order = active === undefined ? undefined : this.#registry.sessionOf(active.worker)?.orders.get(`${place.job}.${place.occurrence}.${place.step}.${index}`)
-      if (order === undefined || order.isStopWanted || order.percent < AT_WORK_PERCENT) away += 1
+      const task = formatTask({ ...place, index })
+      const active = record.active[0]
+      const order = active === undefined ? undefined : this.#registry.sessionOf(active.worker)?.orders.get(task)
+      if (order === undefined || order.isStopWanted || order.percent < AT_WORK_PERCENT) away.push({ task, hasPlace: active !== undefined && order?.isStopWanted !== true })
+    })
+    return away
+  }
+
+  /** Whether all of some tasks of a step fit on the workers that take new work. */
+  #canPlace (step: Step, tasks: readonly string[], service: string): boolean {
+    const open = [...this.#registry.sessions].filter((session) => session.record.service === service && session.isLive && !session.record.isDraining && !this.isCordoned(session))
+    const workers = open.map((session) => createPoolWorker(session, this.#context.state))
+    const groups = tasks.map((task) => {
+      const startable: Startable = { task, stepKey: task.slice(0, task.lastIndexOf('.')), step, failedOn: [], allowed: null }
+      return { members: [startable], mayReserve: false }
     })
-    return away < step.maxUnavailable
+    return planStarts(workers, groups).length === tasks.length
   }
 }
--- a/src/upkeep/runner/test.ts
+++ b/src/upkeep/runner/test.ts
@@ -8,7 +8,6 @@
 import { BatchState } from '../../batch/state/index.js'
 import type { BatchCommand } from '../../batch/state/records.js'
 import type { Step } from '../../batch/types.js'
-import { itIsKnownRed } from '../../knownRed/index.js'
 import { ManualClock } from '../../clock/index.js'
 import { Notifier } from '../../clock/notifier/index.js'
 import { EventLog } from '../../logs/eventLog/index.js'
@@ -148,7 +147,7 @@
     expect(rig.mostDown).to.equal(2)
   })
 
-  itIsKnownRed('a task that lasts is stopped only when another worker can take it', async () => {
+  it('stops a task that lasts only when another worker can take it', async () => {
     rig = new Rig(3)
     rig.submit([createStep({ count: 2, isLasting: true, maxUnavailable: 1, maxPerWorker: 1 })])
     await rig.advance(3000)
--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -113,6 +113,15 @@
     for (const session of this.#sessions.values()) if (session.record.machine === machine) session.markGone(reason)
   }
 
+  /**
+   * Waits until the starts of a job that are under way have been answered or given up.
+   *
+   * @param job - id of the job
+   */
+  async settleStarts (job: string): Promise<void> {
+    await Promise.all([...this.#sessions.values()].map((session) => session.settleStarts(job)))
+  }
+
   /** Keys of workers that are to be dismissed: gone or long silent, and without runs in the state. */
   findDismissable (): string[] {
     const keys: string[] = []
@@ -155,7 +164,7 @@
   #open (record: WorkerRecord): void {
     const { clock, log, term, mayOrder, state } = this.#context
     const key = workerKey(record)
-    const session = new WorkerSession(key, record, this.#connect(record), { clock, log, token: term, mayOrder, runsOn: (worker) => state.runsOn(worker), onChange: this.#onChange })
+    const session = new WorkerSession(key, record, this.#connect(record), { clock, log, token: term, mayOrder, runsOn: (worker) => state.runsOn(worker), isWanted: (task, run) => state.isWanted(task, run), onChange: this.#onChange })
     this.#sessions.set(key, session)
     void session.run()
   }
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -5,28 +5,10 @@
 import type { EndedRun, RunningTask } from '../../batch/types.js'
 import type { EventLog } from '../../logs/eventLog/index.js'
 import { LeaseClock } from '../leaseClock/index.js'
-import type { OrderAnswer, WorkerCalls } from '../types.js'
-import { LEASE_MS, LOOK_TIMEOUT_MS, LOOK_WAIT_MS, ORDER_TIMEOUT_MS, SILENT_AFTER_MS, START_LEASE_MS } from '../constants.js'
-
-/** How far an order to start has come. */
-type OrderPhase = 'starting' | 'started' | 'unclear' | 'barred'
-
-/** What the leader knows of one run beyond the replicated state. */
-export interface RunOrder {
-  readonly run: number
-  phase: OrderPhase
-  /** Clock reading when the last answer to an order came. */
-  settledAt: Millis
-  startedAt: Millis
-  isStopWanted: boolean
-  isStopping: boolean
-  percent: number
-  /** Clock reading since when the percentage has not changed. */
-  percentSince: Millis
-  load: number | null
-  pace: number
-  checkpoint: string
-}
+import type { OrderAnswer, StartRefusal, WorkerCalls } from '../types.js'
+import { createRunOrder, type RunOrder } from '../runOrder/index.js'
+import { StartQueue } from '../startQueue/index.js'
+import { LEASE_MS, LOOK_TIMEOUT_MS, LOOK_WAIT_MS, MAX_STARTS_UNDER_WAY, ORDER_TIMEOUT_MS, SILENT_AFTER_MS, START_LEASE_MS } from '../constants.js'
 
 /** Surroundings of {@link WorkerSession}. */
 export interface SessionContext {
@@ -38,6 +20,8 @@
   readonly mayOrder: () => boolean
   /** Runs that the replicated state has on a worker. */
   readonly runsOn: (worker: string) => ReadonlyMap<string, { readonly run: number }>
+  /** Whether a run that was placed is still to be started: its job may have been cancelled. */
+  readonly isWanted: (task: string, run: number) => boolean
   /** Called when there is something to commit or to plan. */
   readonly onChange: () => void
 }
@@ -65,6 +49,7 @@
   readonly #context: SessionContext
   readonly #lease: LeaseClock
   readonly #committed: Notifier
+  readonly #starts: StartQueue
   readonly #stop = new AbortController()
   #lookedAt: Millis = Number.NEGATIVE_INFINITY
   /** Looks in a row that were not answered. */
@@ -85,6 +70,7 @@
     this.#context = context
     this.#lease = new LeaseClock(LEASE_MS, context.clock.now())
     this.#committed = new Notifier(context.clock)
+    this.#starts = new StartQueue(MAX_STARTS_UNDER_WAY, (task, run) => context.isWanted(task, run) && this.orders.get(task)?.isStopWanted !== true)
   }
 
   /** Whether it has answered lately, so that work may be given to it. */
@@ -152,15 +138,30 @@
   }
 
   /**
-   * Orders a start.
+   * Orders a start, unless the run is no longer wanted when its turn has come.
    *
    * @param order - a placement that is committed
    */
   async start (order: StartOrder): Promise<void> {
-    const { clock, token } = this.#context
     const { task, run } = order
-    const state: RunOrder = { ...createRunOrder(run, clock.now()), phase: 'starting' }
+    const state: RunOrder = { ...createRunOrder(run, this.#context.clock.now()), phase: 'starting' }
     this.orders.set(task, state)
+    const isSent = await this.#starts.run(task, run, () => this.#sendStart(order, state))
+    if (!isSent) this.#note(task, run, 'refused', '')
+  }
+
+  /**
+   * Waits until the starts of a job that are under way here have been answered or given up.
+   *
+   * @param job - id of the job
+   */
+  settleStarts (job: string): Promise<void> {
+    return this.#starts.settle(job)
+  }
+
+  async #sendStart (order: StartOrder, state: RunOrder): Promise<void> {
+    const { clock, token } = this.#context
+    const { task, run } = order
     if (!this.#lease.isKnown || !this.#context.mayOrder()) {
       this.#note(task, run, 'refused', '')
       return
@@ -173,15 +174,7 @@
         state.phase = 'started'
         state.startedAt = state.settledAt
         this.refusals = 0
-        return
-      }
-      this.#context.log.info('start.refused', { task, run, worker: this.key, reason: answer.refusal })
-      if (answer.refusal === 'unhealthy') {
-        this.refusals += 1
-        this.refusedAt = clock.now()
-      }
-      this.#note(task, run, 'refused', '')
-      if (answer.refusal === 'wrongWorker') this.markGone('another worker answers at its address')
+      } else this.#onStartRefused(order, answer.refusal)
     } catch (err) {
       state.phase = 'unclear'
       state.settledAt = clock.now()
@@ -189,6 +182,16 @@
     }
   }
 
+  #onStartRefused ({ task, run }: StartOrder, refusal: StartRefusal): void {
+    this.#context.log.info('start.refused', { task, run, worker: this.key, reason: refusal })
+    if (refusal === 'unhealthy') {
+      this.refusals += 1
+      this.refusedAt = this.#context.clock.now()
+    }
+    this.#note(task, run, 'refused', '')
+    if (refusal === 'wrongWorker') this.markGone('another worker answers at its address')
+  }
+
   /**
    * Orders a stop; the run's end shows in a later look.
    *
@@ -344,7 +347,3 @@
 
 /** Longest wait for a commit before the worker is looked at again, in milliseconds. */
 const COMMIT_WAIT_MS: Millis = 400
-
-function createRunOrder (run: number, now: Millis): RunOrder {
-  return { run, phase: 'unclear', settledAt: Number.NEGATIVE_INFINITY, startedAt: now, isStopWanted: false, isStopping: false, percent: -1, percentSince: now, load: null, pace: 100, checkpoint: '' }
-}
--- a/src/workers/session/test.ts
+++ b/src/workers/session/test.ts
@@ -3,7 +3,7 @@
 import type { EndedRun, RunningTask } from '../../batch/types.js'
 import { ManualClock } from '../../clock/index.js'
 import { EventLog } from '../../logs/eventLog/index.js'
-import { LEASE_MS, LOOK_WAIT_MS } from '../constants.js'
+import { LEASE_MS, LOOK_WAIT_MS, MAX_STARTS_UNDER_WAY } from '../constants.js'
 import type { LookRequest, OrderAnswer, StartRefusal, WorkerCalls } from '../types.js'
 import { WorkerSession } from './index.js'
 
@@ -19,6 +19,7 @@
   isSilent = false
   startRefusal: StartRefusal | null | 'noAnswer' = null
   readonly looks: LookRequest[] = []
+  readonly starts: string[] = []
   readonly stops: string[] = []
 
   constructor (clock: ManualClock) {
@@ -34,7 +35,8 @@
     return { refusal: null, clockMs: this.clock.now(), born: this.born, running: this.running, ended }
   }
 
-  async start (): Promise<OrderAnswer> {
+  async start ({ task }: { readonly task: string }): Promise<OrderAnswer> {
+    this.starts.push(task)
     await this.clock.sleep(1)
     if (this.startRefusal === 'noAnswer') throw new Error('no answer')
     return { refusal: this.startRefusal, clockMs: this.clock.now() }
@@ -64,6 +66,7 @@
     token: 7,
     mayOrder: () => lease.mayOrder,
     runsOn: () => placed,
+    isWanted: (task, run) => placed.get(task)?.run === run,
     onChange: () => {}
   })
   void session.run()
@@ -186,4 +189,19 @@
     expect(worker.stops).to.deep.equal([])
     session.end()
   })
+
+  it('sends no start that is to be stopped before its turn has come', async () => {
+    const { clock, worker, placed, session } = createRig()
+    await clock.advance(50)
+    const tasks = Array.from({ length: MAX_STARTS_UNDER_WAY + 1 }, (_, i) => `00000000000000aa.0.0.${i}`)
+    for (const task of tasks) {
+      placed.set(task, { run: 1 })
+      void session.start({ ...startOrder, task })
+    }
+    const last = tasks.at(-1) as string
+    void session.stop(last, 1)
+    await clock.advance(50)
+    expect(worker.starts).to.deep.equal(tasks.slice(0, -1))
+    expect(session.takeNotes().notes).to.deep.include({ task: last, run: 1, worker: 'w@1', outcome: 'refused', checkpoint: '' })
+  })
 })
