--- a/src/consensus/memoryStore/index.ts
+++ b/src/consensus/memoryStore/index.ts
@@ -1,7 +1,7 @@
 /** Store for tests: keeps what was synced across a simulated crash and loses the rest. */
 import type { Clock, Millis } from '../../clock/index.js'
 import { replayRecords } from '../replayRecords/index.js'
-import type { Recovered, Snapshot, Store, StoreRecord } from '../types.js'
+import type { ListRecords, Recovered, Snapshot, Store, StoreRecord } from '../types.js'
 
 /** The simulated disk, which outlives the process that uses it. */
 export class MemoryDisk {
@@ -44,8 +44,10 @@
     return this.#enqueue(() => { this.#disk.records.push(...records) })
   }
 
-  compact (snapshot: Snapshot, records: readonly StoreRecord[]): Promise<void> {
+  compact (snapshot: Snapshot, listRecords: ListRecords): Promise<void> {
     return this.#enqueue(() => {
+      const records = listRecords()
+      if (records === null) return
       this.#disk.snapshot = snapshot
       this.#disk.records = [...records]
     })
--- a/src/consensus/replayRecords/index.ts
+++ b/src/consensus/replayRecords/index.ts
@@ -1,4 +1,5 @@
 /** Reads stored records back in order. */
+import { DataFolderError } from '../errors.js'
 import type { LogEntry, Recovered, StoreRecord } from '../types.js'
 
 /**
@@ -18,7 +19,11 @@
       continue
     }
     const first = entries[0]
-    if (first !== undefined) entries.length = record.entry.index - first.index
+    if (first !== undefined) {
+      const kept = record.entry.index - first.index
+      if (kept > entries.length) throw new DataFolderError(`The log has no entry ${first.index + entries.length}, but entry ${record.entry.index}. Remove this member, empty its data folder and add it again.`)
+      entries.length = Math.max(0, kept)
+    }
     entries.push(record.entry)
   }
   return { term, votedFor, entries }
--- a/src/consensus/replica/index.ts
+++ b/src/consensus/replica/index.ts
@@ -323,7 +323,7 @@
   async #store (snapshot: Snapshot): Promise<void> {
     const { log } = this.#state
     const keepFrom = Math.max(log.baseIndex, snapshot.index - this.#deps.compaction.keepEntries)
-    await this.#deps.store.compact(snapshot, this.#state.recordsBehind(snapshot.index))
+    await this.#deps.store.compact(snapshot, () => this.#state.recordsBehind(snapshot.index))
     this.#snapshot = snapshot
     this.#state.log.dropUpTo(keepFrom)
   }
@@ -338,7 +338,7 @@
     this.#lastApplied = snapshot.index
     state.commitIndex = Math.max(state.commitIndex, snapshot.index)
     this.#snapshot = snapshot
-    await this.#deps.store.compact(snapshot, this.#state.recordsBehind(snapshot.index))
+    await this.#deps.store.compact(snapshot, () => this.#state.recordsBehind(snapshot.index))
     state.durableIndex = Math.max(state.durableIndex, snapshot.index)
     state.onChange()
   }
--- a/src/consensus/replica/state.ts
+++ b/src/consensus/replica/state.ts
@@ -121,8 +121,10 @@
    * Returns the vote and the entries that a log behind a snapshot must hold.
    *
    * @param index - last index that the snapshot covers
+   * @returns null when the log begins behind a later snapshot
    */
-  recordsBehind (index: number): StoreRecord[] {
+  recordsBehind (index: number): StoreRecord[] | null {
+    if (index < this.log.baseIndex) return null
     const entries = this.log.slice(index + 1, Number.MAX_SAFE_INTEGER)
     return [{ kind: 'vote', term: this.term, votedFor: this.votedFor }, ...entries.map((entry): StoreRecord => ({ kind: 'entry', entry }))]
   }
--- a/src/consensus/types.ts
+++ b/src/consensus/types.ts
@@ -114,14 +114,20 @@
   readonly tornBytes: number
 }
 
+/** Lists what a log behind a snapshot must hold; null when a later snapshot has replaced the log meanwhile. */
+export type ListRecords = () => readonly StoreRecord[] | null
+
 /** Durable storage of one member. */
 export interface Store {
   readonly instance: string
   recover (): Promise<Recovered>
   /** Resolves once the records are durable; calls made meanwhile share one sync. */
   append (records: readonly StoreRecord[]): Promise<void>
-  /** Stores a snapshot and starts a log that holds only the given records. */
-  compact (snapshot: Snapshot, records: readonly StoreRecord[]): Promise<void>
+  /**
+   * Stores a snapshot and starts a log that holds only the listed records. They are listed when the appends made before
+   * are durable, so that none of those is left behind in the old log.
+   */
+  compact (snapshot: Snapshot, listRecords: ListRecords): Promise<void>
   close (): Promise<void>
 }
 
--- a/src/consensus/wal/index.ts
+++ b/src/consensus/wal/index.ts
@@ -4,7 +4,7 @@
 import { join } from 'node:path'
 import { DataFolderError } from '../errors.js'
 import { replayRecords } from '../replayRecords/index.js'
-import type { Recovered, Snapshot, Store, StoreRecord } from '../types.js'
+import type { ListRecords, Recovered, Snapshot, Store, StoreRecord } from '../types.js'
 import { encodeFrame, readFrames } from './frame.js'
 import { FolderLock } from './lock.js'
 
@@ -102,8 +102,8 @@
     })
   }
 
-  async compact (snapshot: Snapshot, records: readonly StoreRecord[]): Promise<void> {
-    const task = this.#tail.then(() => this.#compactNow(snapshot, records))
+  async compact (snapshot: Snapshot, listRecords: ListRecords): Promise<void> {
+    const task = this.#tail.then(() => this.#compactNow(snapshot, listRecords))
     this.#tail = task.catch(() => {})
     try {
       await task
@@ -156,10 +156,12 @@
     this.#onSync()
   }
 
-  async #compactNow (snapshot: Snapshot, records: readonly StoreRecord[]): Promise<void> {
+  async #compactNow (snapshot: Snapshot, listRecords: ListRecords): Promise<void> {
     const before = this.#generation
     await this.#writeSynced(this.#snapshotPath(snapshot.index), [encodeFrame(snapshot)])
     await this.#readSnapshot(snapshot.index)
+    const records = listRecords()
+    if (records === null) return
     const old = this.#file
     await this.#startGeneration(before + 1, { instance: this.#instance, snapshotIndex: snapshot.index }, records)
     await old?.close()
--- a/src/consensus/wal/test.ts
+++ b/src/consensus/wal/test.ts
@@ -136,7 +136,7 @@
     const wal = await start()
     await wal.recover()
     await wal.append([entry(1), entry(2), entry(3)])
-    await wal.compact({ index: 2, term: 1, members: [], data: Buffer.from('state') }, [entry(3)])
+    await wal.compact({ index: 2, term: 1, members: [], data: Buffer.from('state') }, () => [entry(3)])
     await wal.append([entry(4)])
     const found = await (await restart(wal)).recover()
     expect(found.snapshot?.index).to.equal(2)
@@ -145,6 +145,33 @@
     expect(readdirSync(folder)).to.have.length(3)
   })
 
+  it('keeps what is appended while a compaction waits for its turn', async () => {
+    const wal = await start()
+    await wal.recover()
+    const log = [entry(1), entry(2)]
+    const list = (): StoreRecord[] => log.slice(1)
+    await wal.append(log)
+    const append = (index: number): Promise<void> => {
+      log.push(entry(index))
+      return wal.append([entry(index)])
+    }
+    const early = append(3)
+    const compaction = wal.compact({ index: 1, term: 1, members: [], data: Buffer.from('state') }, list)
+    await Promise.all([early, append(4), compaction, append(5)])
+    const found = await (await restart(wal)).recover()
+    expect(indexes(found.entries)).to.deep.equal([2, 3, 4, 5])
+  })
+
+  it('leaves the log alone when a later snapshot has replaced it before a compaction has its turn', async () => {
+    const wal = await start()
+    await wal.recover()
+    await wal.append([entry(1), entry(2)])
+    await wal.compact({ index: 1, term: 1, members: [], data: Buffer.from('state') }, () => null)
+    const found = await (await restart(wal)).recover()
+    expect(found.snapshot).to.equal(null)
+    expect(indexes(found.entries)).to.deep.equal([1, 2])
+  })
+
   it('keeps a second process away from its folder', async () => {
     await start()
     const err = await Wal.open(folder).then(() => null, (error: unknown) => error)
