--- a/integration/jobs/deployment.ts
+++ b/integration/jobs/deployment.ts
@@ -52,7 +52,7 @@
     await this.#machines.listen(MACHINES_ADDRESS)
     for (const i of CONTROL_HOSTS.keys()) this.startControl(i, true)
     const path = join(this.#folder, 'entry.json')
-    writeFileSync(path, JSON.stringify({ node: 'entry', zone: 'a', internalAddress: `${ENTRY_HOST}:${INTERNAL_PORT}`, internalPort: INTERNAL_PORT, callerAddress: `${ENTRY_HOST}:${ENTRY_PORT}`, healthAddress: `${ENTRY_HOST}:${ENTRY_PORT + 1}`, metricsAddress: `${ENTRY_HOST}:${ENTRY_PORT + 2}`, seeds: this.controlAddresses, stopGraceMs: 1500 }))
+    writeFileSync(path, JSON.stringify({ node: 'entry', zone: 'a', internalAddress: `${ENTRY_HOST}:${INTERNAL_PORT}`, internalPort: INTERNAL_PORT, callerAddress: `${ENTRY_HOST}:${ENTRY_PORT}`, healthAddress: `${ENTRY_HOST}:${ENTRY_PORT + 1}`, metricsAddress: `${ENTRY_HOST}:${ENTRY_PORT + 2}`, seeds: this.controlAddresses, stopGraceMs: 3000 }))
     this.#processes.set('entry', new LoggedProcess('target/platform-entry.mjs', path))
   }
 
@@ -78,8 +78,8 @@
    */
   async end (name: string, signal: NodeJS.Signals = 'SIGKILL', losesDisk = false): Promise<void> {
     const ended = this.#processes.get(name)
-    this.#processes.delete(name)
     await ended?.end(signal)
+    this.#processes.delete(name)
     this.#lines.push(...ended?.lines ?? [])
     if (losesDisk) rmSync(join(this.#folder, name.replace('control', 'data')), { recursive: true, force: true })
   }
--- a/integration/jobs/test.ts
+++ b/integration/jobs/test.ts
@@ -136,4 +136,12 @@
     await until(() => deployment.lines.some(({ event, path, reason }) => event === 'request.failed' && String(path).endsWith(id) && typeof reason === 'string'))
     await until(() => deployment.lines.some(({ event }) => event === 'leader.lost'))
   })
+
+  it('answers what it has read before it ends, also without a leader', async () => {
+    const end = deployment.end('entry', 'SIGTERM')
+    await until(() => deployment.lines.some(({ event, part }) => event === 'process.stopping' && part === 'entry'))
+    const answers = await Promise.all(Array.from({ length: 5 }, () => deployment.ask('POST', `/queue/${newId()}`, createJob())))
+    for (const { status } of answers) expect(status).to.be.oneOf([503, 504])
+    await end
+  })
 })
