--- a/src/links/http/index.ts
+++ b/src/links/http/index.ts
@@ -11,7 +11,6 @@
   readonly method: string
   readonly headers: Record<string, string>
   readonly body: string | Buffer | null
-  readonly signal: AbortSignal
 }
 
 /** A whole answer. */
@@ -52,51 +51,50 @@
   })
 }
 
-/**
- * Sends a request and gathers its answer.
- *
- * @param pool - connections to the address
- * @param req - the request; aborting its signal closes its connection
- * @returns the whole answer
- */
-export function requestBytes (pool: PoolType, req: WholeRequest): Promise<BytesAnswer> {
-  return new Promise((resolve, reject) => {
-    const { path, method, headers, body, signal } = req
-    pool.dispatch({ path, method: method as Dispatcher.HttpMethod, headers, body }, new WholeHandler(signal, resolve, reject))
-  })
+/** A request that was sent and may be given up. */
+export interface PendingRequest {
+  readonly answer: Promise<BytesAnswer>
+  /** Gives the request up: its connection is closed and its answer rejects with the error. */
+  readonly abort: (err: Error) => void
 }
 
 /**
- * Sends a request and gathers its answer as text.
+ * Sends a request and gathers its answer.
  *
  * @param pool - connections to the address
- * @param req - the request; aborting its signal closes its connection
- * @returns the whole answer
+ * @param req - the request
  */
-export async function requestText (pool: PoolType, req: WholeRequest): Promise<TextAnswer> {
-  const { status, bytes } = await requestBytes(pool, req)
-  return { status, text: bytes.toString('utf8') }
+export function sendRequest (pool: PoolType, { path, method, headers, body }: WholeRequest): PendingRequest {
+  const handler = new WholeHandler()
+  pool.dispatch({ path, method: method as Dispatcher.HttpMethod, headers, body }, handler)
+  return { answer: handler.answer, abort: (err) => { handler.abort(err) } }
 }
 
 class WholeHandler implements Dispatcher.DispatchHandler {
-  readonly #signal: AbortSignal
-  readonly #resolve: (answer: BytesAnswer) => void
-  readonly #reject: (err: Error) => void
-  readonly #onAbort = (): void => { this.#abort() }
+  readonly answer: Promise<BytesAnswer>
+  #resolve: (answer: BytesAnswer) => void = () => {}
+  #reject: (err: Error) => void = () => {}
   #controller: Dispatcher.DispatchController | null = null
+  #aborted: Error | null = null
   #status = 0
-  #chunks: Buffer[] = []
+  readonly #chunks: Buffer[] = []
 
-  constructor (signal: AbortSignal, resolve: (answer: BytesAnswer) => void, reject: (err: Error) => void) {
-    this.#signal = signal
-    this.#resolve = resolve
-    this.#reject = reject
-    signal.addEventListener('abort', this.#onAbort, { once: true })
+  constructor () {
+    this.answer = new Promise((resolve, reject) => {
+      this.#resolve = resolve
+      this.#reject = reject
+    })
+  }
+
+  abort (err: Error): void {
+    this.#aborted = err
+    this.#controller?.abort(err)
+    this.#reject(err)
   }
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
     this.#controller = controller
-    if (this.#signal.aborted) this.#abort()
+    if (this.#aborted !== null) controller.abort(this.#aborted)
   }
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number): void {
@@ -108,18 +106,10 @@
   }
 
   onResponseEnd (): void {
-    this.#signal.removeEventListener('abort', this.#onAbort)
-    this.#resolve({ status: this.#status, bytes: Buffer.concat(this.#chunks) })
+    this.#resolve({ status: this.#status, bytes: this.#chunks.length === 1 ? this.#chunks[0] as Buffer : Buffer.concat(this.#chunks) })
   }
 
   onResponseError (_controller: Dispatcher.DispatchController | undefined, err: Error): void {
-    this.#signal.removeEventListener('abort', this.#onAbort)
-    this.#reject(err)
-  }
-
-  #abort (): void {
-    const err = new Error('the call took too long')
-    this.#controller?.abort(err)
     this.#reject(err)
   }
 }
--- a/src/links/link/index.ts
+++ b/src/links/link/index.ts
@@ -3,7 +3,7 @@
 import type { Pool } from 'undici'
 import type { Millis } from '../../clock/index.js'
 import type { ControlRouter } from '../controlRouter/index.js'
-import { createPool, requestText } from '../http/index.js'
+import { createPool, sendRequest } from '../http/index.js'
 
 const CONNECT_TIMEOUT_MS = 1000
 const IDLE_CONNECTION_MS = 15_000
@@ -81,21 +81,17 @@
   }
 
   async #fetch (url: string, init: FetchInit): Promise<{ ok: boolean, status: number, json: () => Promise<unknown> }> {
-    const { status, text } = await requestText(this.#pool, {
-      path: url.slice(this.#origin.length),
-      method: init.method,
-      headers: init.headers,
-      body: init.body ?? null,
-      signal: init.signal ?? NEVER_ABORTED
-    })
+    const { answer, abort } = sendRequest(this.#pool, { path: url.slice(this.#origin.length), method: init.method, headers: init.headers, body: init.body ?? null })
+    const onAbort = (): void => { abort(new Error('the call took too long')) }
+    init.signal?.addEventListener('abort', onAbort, { once: true })
+    const { status, bytes } = await answer.finally(() => init.signal?.removeEventListener('abort', onAbort))
+    const text = bytes.toString('utf8')
     this.#traffic.sentBytes += init.body?.length ?? 0
     this.#traffic.receivedBytes += text.length
     return { ok: status < 400, status, json: () => Promise.resolve(JSON.parse(text) as unknown) }
   }
 }
 
-const NEVER_ABORTED = new AbortController().signal
-
 interface FetchInit {
   readonly method: 'GET' | 'POST'
   readonly headers: Record<string, string>
--- a/src/links/packLink/index.ts
+++ b/src/links/packLink/index.ts
@@ -1,8 +1,7 @@
 /** Calls to another process of the group with MessagePack bodies, each with its own timeout. */
 import { Packr } from 'msgpackr/pack'
-import type { Pool } from 'undici'
 import type { Millis } from '../../clock/index.js'
-import { createPool, requestBytes } from '../http/index.js'
+import { TimedPool } from '../timedPool/index.js'
 
 const CONNECT_TIMEOUT_MS = 600
 const IDLE_CONNECTION_MS = 15_000
@@ -10,6 +9,8 @@
 
 const HTTP_OK = 200
 
+const PACK_HEADERS = { 'content-type': 'application/msgpack' }
+
 const packr = new Packr({ useRecords: false, moreTypes: true })
 
 /** The other side answered that the call failed there. */
@@ -19,11 +20,11 @@
 
 /** Owns the connections to one address. */
 export class PackLink {
-  #pool: Pool
+  readonly #pool: TimedPool
 
   /** @param address - host and port */
   constructor (readonly address: string) {
-    this.#pool = this.#createPool()
+    this.#pool = new TimedPool(address, { connections: MAX_CONNECTIONS, connectMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_CONNECTION_MS })
   }
 
   /**
@@ -36,36 +37,14 @@
    * @throws RemoteError when the call failed there, any other error when its fate is unknown
    */
   async call<T> (name: string, input: unknown, timeoutMs: Millis): Promise<T> {
-    const timer = new AbortController()
-    const timeout = setTimeout(() => { timer.abort() }, timeoutMs)
-    try {
-      const body = packr.pack(input)
-      const headers = { 'content-type': 'application/msgpack' }
-      const { status, bytes } = await requestBytes(this.#pool, { path: `/group/${name}`, method: 'POST', headers, body, signal: timer.signal })
-      if (status !== HTTP_OK) throw new RemoteError(bytes.toString('utf8'))
-      return packr.unpack(bytes) as T
-    } catch (err) {
-      // Other idle connections may have gone silent with this one: none of them is used again.
-      if (timer.signal.aborted) this.#renew()
-      throw err
-    } finally {
-      clearTimeout(timeout)
-    }
+    const { status, bytes } = await this.#pool.request({ path: `/group/${name}`, method: 'POST', headers: PACK_HEADERS, body: packr.pack(input) }, timeoutMs)
+    if (status !== HTTP_OK) throw new RemoteError(bytes.toString('utf8'))
+    return packr.unpack(bytes) as T
   }
 
   /** Closes all connections. */
   close (): void {
-    this.#pool.destroy().catch(() => {})
-  }
-
-  #renew (): void {
-    const old = this.#pool
-    this.#pool = this.#createPool()
-    old.close().catch(() => {})
-  }
-
-  #createPool (): Pool {
-    return createPool(this.address, { connections: MAX_CONNECTIONS, connectMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_CONNECTION_MS })
+    this.#pool.close()
   }
 }
 
--- /dev/null
+++ b/src/links/timedPool/index.ts
@@ -0,0 +1,71 @@
+/** Connections to one address on which every call has its own timeout. */
+import type { Pool } from 'undici'
+import type { Millis } from '../../clock/index.js'
+import { createPool, sendRequest, type BytesAnswer, type PoolLimits, type TextAnswer, type WholeRequest } from '../http/index.js'
+
+/** The call was given up; whether it was carried out is not known. */
+export class CallTimeoutError extends Error {
+  override readonly name = 'CallTimeoutError'
+}
+
+/** A pool that replaces its connections when a call on one of them was not answered. */
+export class TimedPool {
+  readonly #address: string
+  readonly #limits: PoolLimits
+  #pool: Pool
+
+  /**
+   * @param address - host and port
+   * @param limits - how connections are kept
+   */
+  constructor (address: string, limits: PoolLimits) {
+    this.#address = address
+    this.#limits = limits
+    this.#pool = createPool(address, limits)
+  }
+
+  /**
+   * Sends a request and gathers its answer.
+   *
+   * @param req - the request
+   * @param timeoutMs - time for the whole call
+   * @throws CallTimeoutError when the time is over; any other error as the connection has it
+   */
+  async request (req: WholeRequest, timeoutMs: Millis): Promise<BytesAnswer> {
+    const pool = this.#pool
+    const { answer, abort } = sendRequest(pool, req)
+    const timeout = setTimeout(() => {
+      abort(new CallTimeoutError('the call took too long'))
+      this.#renew(pool)
+    }, timeoutMs)
+    try {
+      return await answer
+    } finally {
+      clearTimeout(timeout)
+    }
+  }
+
+  /**
+   * Sends a request and gathers its answer as text.
+   *
+   * @param req - the request
+   * @param timeoutMs - time for the whole call
+   * @throws as {@link TimedPool.request}
+   */
+  async requestText (req: WholeRequest, timeoutMs: Millis): Promise<TextAnswer> {
+    const { status, bytes } = await this.request(req, timeoutMs)
+    return { status, text: bytes.toString('utf8') }
+  }
+
+  /** Closes all connections; calls under way are rejected. */
+  close (): void {
+    this.#pool.destroy().catch(() => {})
+  }
+
+  /** Other idle connections may have gone silent with the one that was given up: none of them is used again. */
+  #renew (silent: Pool): void {
+    if (this.#pool !== silent) return
+    this.#pool = createPool(this.#address, this.#limits)
+    silent.close().catch(() => {})
+  }
+}
--- /dev/null
+++ b/src/links/timedPool/test.ts
@@ -0,0 +1,77 @@
+import { expect } from 'chai'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { CallTimeoutError, TimedPool } from './index.js'
+
+const PORT = 18_474
+const ADDRESS = `127.0.0.1:${PORT}`
+const LIMITS = { connections: 4, connectMs: 1000, idleMs: 5000 }
+const GENEROUS_MS = 20_000
+
+describe('TimedPool', () => {
+  const connections = new Set<Socket>()
+  let answer: (req: IncomingMessage, res: ServerResponse) => void
+  let server: Server
+  let pool: TimedPool
+
+  beforeEach((done) => {
+    connections.clear()
+    server = createServer((req, res) => { answer(req, res) })
+    server.on('connection', (socket) => connections.add(socket))
+    pool = new TimedPool(ADDRESS, LIMITS)
+    server.listen(PORT, '127.0.0.1', done)
+  })
+
+  afterEach(() => {
+    pool.close()
+    server.closeAllConnections()
+    server.close()
+  })
+
+  /** A connection is free for the next call once the turn in which its answer ended is over. */
+  const ask = (path: string, timeoutMs: number) => pool.requestText({ path, method: 'POST', headers: {}, body: 'question' }, timeoutMs)
+    .finally(() => new Promise((resolve) => setImmediate(resolve)))
+
+  it('gathers the whole answer', async () => {
+    answer = (_req, res) => {
+      res.write('first, ')
+      setImmediate(() => res.end('second'))
+    }
+    expect(await ask('/', GENEROUS_MS)).to.deep.equal({ status: 200, text: 'first, second' })
+  })
+
+  it('uses one connection for calls that follow each other', async () => {
+    answer = (_req, res) => { res.end() }
+    for (let i = 0; i < 3; i++) await ask('/', GENEROUS_MS)
+    expect(connections.size).to.equal(1)
+  })
+
+  it('gives a call up with its timeout, and uses none of the connections of before again', async () => {
+    const used: Socket[] = []
+    answer = (req, res) => {
+      used.push(req.socket)
+      if (req.url !== '/silent') res.end()
+    }
+    await Promise.all([ask('/', GENEROUS_MS), ask('/', GENEROUS_MS)])
+    const err = await ask('/silent', 30).catch((err: unknown) => err)
+    expect(err).to.be.instanceOf(CallTimeoutError)
+    const before = new Set(connections)
+    await ask('/', GENEROUS_MS)
+    expect(before.has(used.at(-1) as Socket)).to.equal(false)
+  })
+
+  it('lets other calls under way end when one is given up', async () => {
+    const waiting = new Map<string, ServerResponse>()
+    answer = (req, res) => { waiting.set(req.url ?? '', res) }
+    const slow = ask('/slow', GENEROUS_MS)
+    await ask('/silent', 30).catch(() => {})
+    waiting.get('/slow')?.end('late')
+    expect((await slow).text).to.equal('late')
+  })
+
+  it('rejects calls under way when it is closed', async () => {
+    answer = () => { pool.close() }
+    const err = await ask('/', GENEROUS_MS).catch((err: unknown) => err)
+    expect(err).to.be.instanceOf(Error).and.not.instanceOf(CallTimeoutError)
+  })
+})
--- a/src/platform/client/index.ts
+++ b/src/platform/client/index.ts
@@ -1,6 +1,5 @@
 /** Client of the platform that runs the VMs. */
-import type { Pool } from 'undici'
-import { createPool, requestText } from '../../links/http/index.js'
+import { TimedPool } from '../../links/timedPool/index.js'
 
 const CALL_TIMEOUT_MS = 2000
 const IDLE_CONNECTION_MS = 10_000
@@ -19,22 +18,21 @@
 
 /** Platform reached over HTTP. */
 export class HttpPlatformClient implements PlatformClient {
-  readonly #pool: Pool
+  readonly #pool: TimedPool
 
   /** @param address - host and port of the platform's interface */
   constructor (address: string) {
-    this.#pool = createPool(address, { connections: 4, connectMs: CALL_TIMEOUT_MS, idleMs: IDLE_CONNECTION_MS })
+    this.#pool = new TimedPool(address, { connections: 4, connectMs: CALL_TIMEOUT_MS, idleMs: IDLE_CONNECTION_MS })
   }
 
   async reboot (vm: string, operation: string): Promise<boolean> {
     try {
-      const { status } = await requestText(this.#pool, {
+      const { status } = await this.#pool.requestText({
         path: `/v1/vms/${encodeURIComponent(vm)}/reboot`,
         method: 'POST',
         headers: { 'idempotency-key': operation },
-        body: null,
-        signal: AbortSignal.timeout(CALL_TIMEOUT_MS)
-      })
+        body: null
+      }, CALL_TIMEOUT_MS)
       return status < 300
     } catch {
       return false
