--- a/integration/jobs/deployment.ts
+++ b/integration/jobs/deployment.ts
@@ -43,6 +43,7 @@
 /** Three control processes, one entry, and the platform's machines. */
 export class JobDeployment {
   readonly controlAddresses = CONTROL_HOSTS.map((host) => `${host}:${CONTROL_PORT}`)
+  readonly internalAddresses = CONTROL_HOSTS.map((host) => `${host}:${INTERNAL_PORT}`)
   readonly #folder = mkdtempSync(join(tmpdir(), 'oleanderward-jobs-'))
   readonly #machines = new StandinMachines([])
   readonly #processes = new Map<string, LoggedProcess>()
--- a/integration/jobs/test.ts
+++ b/integration/jobs/test.ts
@@ -1,8 +1,12 @@
 import { expect } from 'chai'
+import { execFile } from 'node:child_process'
+import { promisify } from 'node:util'
 import { writeJob } from '../../platform/standin/caller.js'
 import { StandinWorker, type StandinWorkerOptions } from '../../platform/standin/worker.js'
 import { JobDeployment, until } from './deployment.js'
 
+const execute = promisify(execFile)
+
 const TASK_MS = 150
 
 const createJob = (tasks = 4): string => writeJob(tasks, TASK_MS)
@@ -54,6 +58,15 @@
     expect(counts).to.deep.equal([1, 1, 1, 1, 1])
   })
 
+  it('explains to an operator how a job and its queue stand', async () => {
+    const id = await submit()
+    await until(async () => await stateOf(id) === 'completed')
+    const explain = async (...args: readonly string[]): Promise<string> => (await execute(process.execPath, ['dist/oleanderctl.mjs', 'batch', 'explain', ...args, '--internal', deployment.internalAddresses.join(',')])).stdout
+    expect(await explain('job', id)).to.include(`Job ${id} is completed`)
+    expect(await explain('config')).to.include('Configuration version 1 is in force')
+    expect(await explain('worker', 'nobody')).to.equal('There is no worker nobody.\n')
+  })
+
   it('takes a job that is handed in twice as one, and shows no job that nobody has handed in', async () => {
     const id = await submit()
     expect((await deployment.ask('POST', `/queue/${id}`, createJob())).status).to.equal(200)
--- a/src/batch/desk/index.ts
+++ b/src/batch/desk/index.ts
@@ -1,6 +1,7 @@
 /** Answers requests in the leader's term. */
 import type { Millis } from '../../clock/index.js'
 import type { TermContext } from '../leader/context.js'
+import { explainBatch } from '../explainBatch/index.js'
 import { matchQueue } from '../matchQueue/index.js'
 import type { ControlAnswer, ControlRequest } from '../requests.js'
 import { queueKey } from '../state/handlers.js'
@@ -65,6 +66,7 @@
         const wave = this.#context.state.data.waves.get(id)
         return wave === undefined ? { kind: 'noWave' } : { kind: 'wave', isCompleted: wave.isCompleted }
       },
+      explain: ({ what, name }) => ({ kind: 'explained', lines: explainBatch({ state: this.#context.state, sessions: [...this.#registry.sessions], wall: this.#context.clock.wall() }, what, name) }),
       ping: () => ({ kind: 'pong', members: this.#listener.members() })
     }
   }
--- a/src/batch/requests.ts
+++ b/src/batch/requests.ts
@@ -1,5 +1,6 @@
 /** Requests that any process passes on to the leader, and the leader's answers. */
 import type { Millis } from '../clock/index.js'
+import type { BatchExplainKind } from './explainBatch/index.js'
 import type { JobPhase, JobSpec, QueueConfig, WorkerReport } from './types.js'
 
 /** A request to the leader. Each may be sent again without harm. */
@@ -13,6 +14,7 @@
   | { readonly kind: 'readConfig' }
   | { readonly kind: 'startWave', readonly id: number, readonly machines: readonly string[], readonly deadlineMs: Millis, readonly cap: number }
   | { readonly kind: 'readWave', readonly id: number }
+  | { readonly kind: 'explain', readonly what: BatchExplainKind, readonly name: string }
   | { readonly kind: 'ping' }
 
 /** The leader's answer. */
@@ -33,4 +35,5 @@
   | { readonly kind: 'config', readonly version: number, readonly document: string }
   | { readonly kind: 'wave', readonly isCompleted: boolean }
   | { readonly kind: 'noWave' }
+  | { readonly kind: 'explained', readonly lines: readonly string[] }
   | { readonly kind: 'pong', readonly members: readonly string[] }
--- a/src/bin/oleanderctl.ts
+++ b/src/bin/oleanderctl.ts
@@ -2,6 +2,7 @@
 import { Command, CommanderError, Option } from 'commander'
 import type { Finding } from '../contracts/findings/index.js'
 import { formatFinding, hasError } from '../contracts/findings/index.js'
+import { addBatchCommands } from '../ctl/commands/batch.js'
 import { addConfigCommands } from '../ctl/commands/config.js'
 import { addFleetCommands } from '../ctl/commands/fleet.js'
 import { addGroupCommands } from '../ctl/commands/group.js'
@@ -31,6 +32,7 @@
   addGroupCommands(program, session)
   addConfigCommands(program, session)
   addFleetCommands(program, session)
+  addBatchCommands(program)
   try {
     await program.parseAsync()
   } catch (err) {
--- /dev/null
+++ b/src/ctl/commands/batch.ts
@@ -0,0 +1,52 @@
+/** Commands about jobs of steps, where control runs on the users' platform. */
+import { Argument, Option, type Command } from 'commander'
+import { BATCH_EXPLAIN_KINDS, type BatchExplainKind } from '../../batch/explainBatch/index.js'
+import { SystemClock } from '../../clock/index.js'
+import { ControlFinder } from '../../links/controlFinder/index.js'
+import { PackLinks } from '../../links/packLink/index.js'
+import { variableOf } from '../../settings/index.js'
+import { parseAddresses } from '../../settings/parsers.js'
+import { print } from '../print/index.js'
+import { CommandError, EXIT_CODES } from '../session/index.js'
+
+/** Time in which a leader must be found, in milliseconds. */
+const ASK_MS = 12_000
+
+/**
+ * Adds the commands about jobs of steps.
+ *
+ * @param program - where they are added
+ */
+export function addBatchCommands (program: Command): void {
+  const batch = program.command('batch').description('show jobs of steps and what they wait for, where control runs on the users\' platform')
+  batch.command('explain')
+    .description('say in sentences how something stands')
+    .addArgument(new Argument('<kind>', 'what it is').choices(BATCH_EXPLAIN_KINDS))
+    .addArgument(new Argument('[name]', 'its name; a worker also by its id or machine').default(''))
+    .addOption(new Option('--internal <addresses>', 'internal addresses of control processes, with commas between them').env(variableOf('internal')).makeOptionMandatory())
+    .action(async (what: BatchExplainKind, name: string, options: { internal: string }) => {
+      const lines = await explain(options.internal, what, name)
+      print({ lines }, program.opts<{ json?: boolean }>().json === true, lines)
+    })
+}
+
+async function explain (internal: string, what: BatchExplainKind, name: string): Promise<readonly string[]> {
+  const addresses = parse(internal)
+  const links = new PackLinks()
+  const clock = new SystemClock()
+  try {
+    const answer = await new ControlFinder(links, clock, () => addresses).ask({ kind: 'explain', what, name }, clock.now() + ASK_MS)
+    if (answer.kind === 'explained') return answer.lines
+    throw new CommandError(answer.kind === 'unanswered' ? `No leader has answered: ${answer.reason}.` : `The leader answered "${answer.kind}".`, EXIT_CODES.unreachable)
+  } finally {
+    links.close()
+  }
+}
+
+function parse (internal: string): readonly string[] {
+  try {
+    return parseAddresses(internal)
+  } catch (err) {
+    throw new CommandError(`--internal: ${(err as Error).message}`, EXIT_CODES.badInput)
+  }
+}
