--- a/src/callers/holdRequest/index.ts
+++ b/src/callers/holdRequest/index.ts
@@ -13,14 +13,29 @@
 const SHORT_HOLD_MS: Millis = 150
 const LOST_AFTER_MS: Millis = 2000
 
+/**
+ * A request of which a copy may be carried out can't be refused: it is asked for until a new leader knows. Loss, election and
+ * the first confirmed heartbeat take 1.2 s, as a rule.
+ */
+const UNCLEAR_HOLD_MS: Millis = 1700
+
+/** How long a request may be held. */
+export interface HoldTimes {
+  /** While no copy of it can be carried out. */
+  readonly refusableMs: Millis
+  /** Once a copy may have been carried out. */
+  readonly unclearMs: Millis
+}
+
 /**
  * Returns how long a request may be held.
  *
  * @param silentMs - time since the last answer of a leader
  * @param leftMs - time that the caller has left
  */
-export function holdTime (silentMs: Millis, leftMs: Millis): Millis {
-  return Math.min(leftMs, silentMs > LOST_AFTER_MS ? SHORT_HOLD_MS : HOLD_MS)
+export function holdTimes (silentMs: Millis, leftMs: Millis): HoldTimes {
+  const refusableMs = Math.min(leftMs, silentMs > LOST_AFTER_MS ? SHORT_HOLD_MS : HOLD_MS)
+  return { refusableMs, unclearMs: Math.max(refusableMs, Math.min(leftMs, UNCLEAR_HOLD_MS)) }
 }
 
 /** A change of leader is over by then, as a rule. */
--- /dev/null
+++ b/src/links/controlFinder/test.ts
@@ -0,0 +1,81 @@
+import { expect } from 'chai'
+import type { ControlAnswer } from '../../batch/requests.js'
+import { ManualClock } from '../../clock/index.js'
+import type { PackLinks } from '../packLink/index.js'
+import { ControlFinder } from './index.js'
+
+type Reply = () => Promise<ControlAnswer>
+
+const HOLD = { refusableMs: 500, unclearMs: 1700 }
+const DEADLINE_MS = 3000
+const REQUEST = { kind: 'ping' } as const
+
+/** Control processes that answer as the test tells them. */
+class FakeLinks {
+  readonly replies = new Map<string, Reply>()
+  readonly calls: string[] = []
+
+  to (address: string) {
+    return {
+      call: () => {
+        this.calls.push(address)
+        return (this.replies.get(address) as Reply)()
+      }
+    }
+  }
+}
+
+const refuse: Reply = () => Promise.reject(Object.assign(new Error('refused'), { code: 'ECONNREFUSED' }))
+const redirect = (leader: string | null): Reply => () => Promise.resolve({ kind: 'redirect', leader, members: [] })
+const accept: Reply = () => Promise.resolve({ kind: 'accepted' })
+
+function createRig (replies: Record<string, Reply>) {
+  const clock = new ManualClock()
+  const links = new FakeLinks()
+  for (const [address, reply] of Object.entries(replies)) links.replies.set(address, reply)
+  const finder = new ControlFinder(links as unknown as PackLinks, clock, () => Object.keys(replies))
+  const startedAt = clock.now()
+  const ask = () => finder.ask(REQUEST, startedAt + DEADLINE_MS, HOLD).then((answer) => ({ answer, tookMs: clock.now() - startedAt }))
+  return { clock, links, ask }
+}
+
+describe('ControlFinder', () => {
+  it('follows to the leader, and goes there first afterwards', async () => {
+    const { clock, links, ask } = createRig({ a: redirect('b'), b: accept })
+    const first = ask()
+    await clock.advance(200)
+    expect((await first).answer.kind).to.equal('accepted')
+    await ask()
+    expect(links.calls.at(-1)).to.equal('b')
+    expect(links.calls.filter((address) => address === 'a').length).to.be.at.most(1)
+  })
+
+  it('gives a request up soon when no copy of it can be carried out', async () => {
+    const { clock, ask } = createRig({ a: refuse, b: redirect(null) })
+    const asked = ask()
+    await clock.advance(DEADLINE_MS)
+    const { answer, tookMs } = await asked
+    expect(answer).to.include({ kind: 'unanswered', isCertainlyNotDone: true })
+    expect(tookMs).to.be.within(HOLD.refusableMs, HOLD.refusableMs + 100)
+  })
+
+  it('goes on asking while a copy may have been carried out, until a new leader knows', async () => {
+    const { clock, links, ask } = createRig({ a: () => Promise.reject(new Error('the connection was reset')), b: redirect(null) })
+    const asked = ask()
+    await clock.advance(HOLD.refusableMs + 600)
+    links.replies.set('b', accept)
+    await clock.advance(200)
+    const { answer, tookMs } = await asked
+    expect(answer.kind).to.equal('accepted')
+    expect(tookMs).to.be.above(HOLD.refusableMs)
+  })
+
+  it('says that the fate is open when no leader is found in time', async () => {
+    const { clock, ask } = createRig({ a: () => Promise.reject(new Error('the connection was reset')), b: redirect(null) })
+    const asked = ask()
+    await clock.advance(DEADLINE_MS)
+    const { answer, tookMs } = await asked
+    expect(answer).to.include({ kind: 'unanswered', isCertainlyNotDone: false })
+    expect(tookMs).to.be.within(HOLD.unclearMs, HOLD.unclearMs + 100)
+  })
+})
