--- a/src/control/member/index.ts
+++ b/src/control/member/index.ts
@@ -5,6 +5,7 @@
 import type { AppendRequest, Member, SnapshotChunk, VoteRequest } from '../../consensus/types.js'
 import type { BatchLeader } from '../../batch/leader/index.js'
 import type { ControlAnswer, ControlRequest } from '../../batch/requests.js'
+import type { WorkerReport } from '../../batch/types.js'
 import type { GroupFormer } from '../../group/former/index.js'
 import type { GroupKeeper } from '../../group/keeper/index.js'
 import type { EventLog } from '../../logs/eventLog/index.js'
@@ -15,6 +16,9 @@
 const STAND_TIMEOUT_MS = 500
 const WATCH_MS = 500
 
+/** A follower that has heard its leader this lately acknowledges reports that say nothing new; three heartbeats. */
+const IN_TOUCH_MS = 480
+
 /** Parts of {@link ControlMember}. */
 export interface ControlMemberDeps {
   readonly clock: Clock
@@ -23,6 +27,8 @@
   readonly links: PackLinks
   readonly former: GroupFormer
   readonly keeper: GroupKeeper
+  /** Whether a worker's report says nothing that the replicated state doesn't have. */
+  readonly isKnownReport: (report: WorkerReport) => boolean
   /** Begins a term; called once this member is a ready leader. */
   readonly beginTerm: () => BatchLeader
 }
@@ -97,6 +103,7 @@
   async answer (req: ControlRequest): Promise<ControlAnswer> {
     const { replica } = this.#deps
     const leader = this.#leader
+    if (leader === null && req.kind === 'report' && this.#isInTouch() && this.#deps.isKnownReport(req.report)) return { kind: 'accepted' }
     if (leader === null || !replica.isReadyLeader || replica.term !== leader.term) return this.#redirect()
     try {
       return await leader.answer(req)
@@ -105,6 +112,12 @@
     }
   }
 
+  /** Whether a leader was heard of lately, so that the state here is hardly behind the leader's. */
+  #isInTouch (): boolean {
+    const { clock, replica } = this.#deps
+    return replica.leader !== null && clock.now() - replica.heardAt < IN_TOUCH_MS
+  }
+
   #redirect (): ControlAnswer {
     const { leader, members, instance } = this.#deps.replica.status()
     return { kind: 'redirect', leader: leader === null || leader.instance === instance ? null : leader.address, members: members.map(({ address }) => address) }
--- a/src/links/controlFinder/index.ts
+++ b/src/links/controlFinder/index.ts
@@ -3,10 +3,14 @@
 import type { ControlAnswer, ControlRequest } from '../../batch/requests.js'
 import type { HoldTimes } from '../../callers/holdRequest/index.js'
 import { RemoteError, type PackLinks } from '../packLink/index.js'
+import { CallTimeoutError } from '../timedPool/index.js'
 
 /** Longest time for one attempt. */
 const ATTEMPT_MS: Millis = 900
 
+/** Longest time for a call that only keeps a connection open. */
+const WARM_TIMEOUT_MS: Millis = 600
+
 /** Pause after a round in which nobody knew a leader. */
 const PAUSE_MS: Millis = 60
 
@@ -25,6 +29,14 @@
   readonly reason: string
 }
 
+/** Another process leads; whether the one that was asked carries the request out is not known. */
+class LeaderChangedError extends Error {}
+
+interface PendingAttempt {
+  readonly target: string
+  readonly giveUp: (err: Error) => void
+}
+
 /** Keeps what is known of the control processes. */
 export class ControlFinder {
   readonly #links: PackLinks
@@ -33,6 +45,7 @@
   #members: readonly string[] = []
   #leader: string | null = null
   #next = 0
+  readonly #attempts = new Set<PendingAttempt>()
   #answeredAt: Millis = Number.NEGATIVE_INFINITY
 
   /**
@@ -77,7 +90,7 @@
         continue
       }
       try {
-        const answer = await this.#links.to(target).call<ControlAnswer>('ask', req, Math.min(ATTEMPT_MS, left))
+        const answer = await this.#attempt(target, req, Math.min(ATTEMPT_MS, left))
         if (answer.kind === 'redirect') {
           reason = `${target} does not lead`
           this.#follow(answer, target)
@@ -87,7 +100,7 @@
           isCertainlyNotDone = false
           await this.#clock.sleep(Math.min(PAUSE_MS, Math.max(0, deadline - this.#clock.now())))
         } else {
-          this.#leader = target
+          this.#setLeader(target)
           this.#answeredAt = this.#clock.now()
           if (answer.kind === 'pong') this.#members = answer.members
           return answer
@@ -95,19 +108,50 @@
       } catch (err) {
         reason = (err as Error).message
         if (!wasNotSent(err)) isCertainlyNotDone = false
-        if (this.#leader === target) this.#leader = null
+        if (this.#leader === target) this.#setLeader(null)
         if (attempt > 0) await this.#clock.sleep(Math.min(PAUSE_MS, Math.max(0, deadline - this.#clock.now())))
       }
     }
   }
 
+  /**
+   * Calls every process that may lead, so that a connection to the next leader is there when the present one is lost.
+   *
+   * @returns how many have answered
+   */
+  async keepWarm (): Promise<number> {
+    const answers = await Promise.allSettled(this.#listMembers().map((address) => this.#links.to(address).call('hello', {}, WARM_TIMEOUT_MS)))
+    return answers.filter(({ status }) => status === 'fulfilled').length
+  }
+
   #follow ({ leader, members }: Extract<ControlAnswer, { readonly kind: 'redirect' }>, target: string): void {
     if (members.length > 0) this.#members = members
-    this.#leader = leader === target ? null : leader
+    this.#setLeader(leader === target ? null : leader)
+  }
+
+  #setLeader (leader: string | null): void {
+    if (leader === this.#leader) return
+    this.#leader = leader
+    if (leader === null) return
+    for (const { target, giveUp } of this.#attempts) if (target !== leader) giveUp(new LeaderChangedError(`${leader} leads now`))
+  }
+
+  /** An attempt is given up before its time when another process turns out to lead. */
+  #attempt (target: string, req: ControlRequest, timeoutMs: Millis): Promise<ControlAnswer> {
+    return new Promise((resolve, reject) => {
+      const attempt = { target, giveUp: reject }
+      this.#attempts.add(attempt)
+      const end = (): void => { this.#attempts.delete(attempt) }
+      this.#links.to(target).call<ControlAnswer>('ask', req, timeoutMs).finally(end).then(resolve, reject)
+    })
+  }
+
+  #listMembers (): string[] {
+    return [...new Set([...this.#members, ...this.#seeds()])]
   }
 
   #pickMember (): string | null {
-    const all = [...new Set([...this.#members, ...this.#seeds()])]
+    const all = this.#listMembers()
     if (all.length === 0) return null
     this.#next = (this.#next + 1) % all.length
     return all[this.#next] ?? null
@@ -116,6 +160,7 @@
 
 function wasNotSent (err: unknown): boolean {
   if (err instanceof RemoteError) return false
+  if (err instanceof CallTimeoutError) return !err.wasSent
   const code = (err as { code?: unknown }).code
   return typeof code === 'string' && NOT_SENT_CODES.has(code)
 }
--- a/src/links/controlFinder/test.ts
+++ b/src/links/controlFinder/test.ts
@@ -2,6 +2,7 @@
 import type { ControlAnswer } from '../../batch/requests.js'
 import { ManualClock } from '../../clock/index.js'
 import type { PackLinks } from '../packLink/index.js'
+import { CallTimeoutError } from '../timedPool/index.js'
 import { ControlFinder } from './index.js'
 
 type Reply = () => Promise<ControlAnswer>
@@ -36,7 +37,7 @@
   const finder = new ControlFinder(links as unknown as PackLinks, clock, () => Object.keys(replies))
   const startedAt = clock.now()
   const ask = () => finder.ask(REQUEST, startedAt + DEADLINE_MS, HOLD).then((answer) => ({ answer, tookMs: clock.now() - startedAt }))
-  return { clock, links, ask }
+  return { clock, links, finder, ask }
 }
 
 describe('ControlFinder', () => {
@@ -59,6 +60,13 @@
     expect(tookMs).to.be.within(HOLD.refusableMs, HOLD.refusableMs + 100)
   })
 
+  it('knows that a call which never got a connection was not carried out', async () => {
+    const { clock, ask } = createRig({ a: () => Promise.reject(new CallTimeoutError(false)) })
+    const asked = ask()
+    await clock.advance(DEADLINE_MS)
+    expect((await asked).answer).to.include({ kind: 'unanswered', isCertainlyNotDone: true })
+  })
+
   it('goes on asking while a copy may have been carried out, until a new leader knows', async () => {
     const { clock, links, ask } = createRig({ a: () => Promise.reject(new Error('the connection was reset')), b: redirect(null) })
     const asked = ask()
@@ -70,6 +78,31 @@
     expect(tookMs).to.be.above(HOLD.refusableMs)
   })
 
+  it('gives an attempt up as soon as another process turns out to lead', async () => {
+    const { clock, links, ask } = createRig({ a: accept, b: redirect('a'), c: redirect('a') })
+    const first = ask()
+    await clock.advance(10)
+    await first
+    links.replies.set('a', () => new Promise(() => {}))
+    links.replies.set('b', redirect('c'))
+    links.replies.set('c', accept)
+    const asked = [ask(), ask()]
+    await clock.advance(200)
+    links.replies.set('a', () => Promise.reject(new Error('the connection was reset')))
+    asked.push(ask())
+    await clock.advance(200)
+    for (const { answer, tookMs } of await Promise.all(asked)) {
+      expect(answer.kind).to.equal('accepted')
+      expect(tookMs).to.be.below(500)
+    }
+  })
+
+  it('calls every process that may lead to keep connections open', async () => {
+    const { links, finder } = createRig({ a: accept, b: refuse })
+    expect(await finder.keepWarm()).to.equal(1)
+    expect(links.calls).to.have.members(['a', 'b'])
+  })
+
   it('says that the fate is open when no leader is found in time', async () => {
     const { clock, ask } = createRig({ a: () => Promise.reject(new Error('the connection was reset')), b: redirect(null) })
     const asked = ask()
--- a/src/links/http/index.ts
+++ b/src/links/http/index.ts
@@ -54,6 +54,8 @@
 /** A request that was sent and may be given up. */
 export interface PendingRequest {
   readonly answer: Promise<BytesAnswer>
+  /** Whether any of it may have left: a request that waits for a connection has not. */
+  readonly wasSent: () => boolean
   /** Gives the request up: its connection is closed and its answer rejects with the error. */
   readonly abort: (err: Error) => void
 }
@@ -67,7 +69,7 @@
 export function sendRequest (pool: PoolType, { path, method, headers, body }: WholeRequest): PendingRequest {
   const handler = new WholeHandler()
   pool.dispatch({ path, method: method as Dispatcher.HttpMethod, headers, body }, handler)
-  return { answer: handler.answer, abort: (err) => { handler.abort(err) } }
+  return { answer: handler.answer, wasSent: () => handler.wasSent, abort: (err) => { handler.abort(err) } }
 }
 
 class WholeHandler implements Dispatcher.DispatchHandler {
@@ -86,6 +88,10 @@
     })
   }
 
+  get wasSent (): boolean {
+    return this.#controller !== null
+  }
+
   abort (err: Error): void {
     this.#aborted = err
     this.#controller?.abort(err)
--- a/src/links/packLink/index.ts
+++ b/src/links/packLink/index.ts
@@ -5,7 +5,9 @@
 
 const CONNECT_TIMEOUT_MS = 600
 const IDLE_CONNECTION_MS = 15_000
-const MAX_CONNECTIONS = 12
+
+/** More would only queue in a leader that has just been elected, when all entries turn to it at once. */
+const MAX_CONNECTIONS = 4
 
 const HTTP_OK = 200
 
--- a/src/links/packServer/index.ts
+++ b/src/links/packServer/index.ts
@@ -9,6 +9,9 @@
 /** Idle connections are closed after this time, in milliseconds; links retire theirs earlier. */
 const KEEP_ALIVE_MS = 30_000
 
+/** Connections that may wait to be accepted: all entries turn to a new leader within milliseconds. */
+const BACKLOG = 1024
+
 const BASE_PATH = '/group/'
 
 const packr = new Packr({ useRecords: false, moreTypes: true })
@@ -33,7 +36,7 @@
   listen (address: string): Promise<void> {
     return new Promise((resolve, reject) => {
       this.#server.once('error', reject)
-      this.#server.listen(splitAddress(address), resolve)
+      this.#server.listen({ ...splitAddress(address), backlog: BACKLOG }, resolve)
     })
   }
 
--- a/src/links/timedPool/index.ts
+++ b/src/links/timedPool/index.ts
@@ -3,16 +3,23 @@
 import type { Millis } from '../../clock/index.js'
 import { createPool, sendRequest, type BytesAnswer, type PoolLimits, type TextAnswer, type WholeRequest } from '../http/index.js'
 
-/** The call was given up; whether it was carried out is not known. */
+/** The call was given up. */
 export class CallTimeoutError extends Error {
   override readonly name = 'CallTimeoutError'
+
+  /** @param wasSent - false when it was still waiting for a connection, so that it was certainly not carried out */
+  constructor (readonly wasSent: boolean) {
+    super(wasSent ? 'the call took too long' : 'no connection was made in time')
+  }
 }
 
-/** A pool that replaces its connections when a call on one of them was not answered. */
+/** A pool that replaces its connections when neither a call nor any other after it was answered. */
 export class TimedPool {
   readonly #address: string
   readonly #limits: PoolLimits
   #pool: Pool
+  /** Answers of the present connections. */
+  #answers = 0
 
   /**
    * @param address - host and port
@@ -33,13 +40,16 @@
    */
   async request (req: WholeRequest, timeoutMs: Millis): Promise<BytesAnswer> {
     const pool = this.#pool
-    const { answer, abort } = sendRequest(pool, req)
+    const answersBefore = this.#answers
+    const { answer, wasSent, abort } = sendRequest(pool, req)
     const timeout = setTimeout(() => {
-      abort(new CallTimeoutError('the call took too long'))
-      this.#renew(pool)
+      abort(new CallTimeoutError(wasSent()))
+      if (this.#answers === answersBefore) this.#renew(pool)
     }, timeoutMs)
     try {
-      return await answer
+      const res = await answer
+      if (this.#pool === pool) this.#answers += 1
+      return res
     } finally {
       clearTimeout(timeout)
     }
@@ -62,7 +72,11 @@
     this.#pool.destroy().catch(() => {})
   }
 
-  /** Other idle connections may have gone silent with the one that was given up: none of them is used again. */
+  /**
+   * When nothing was answered since the call was sent, other idle connections may have gone silent with the one that was
+   * given up: none of them is used again. A busy process that answers others keeps its connections, since making them
+   * anew is what it can spare least.
+   */
   #renew (silent: Pool): void {
     if (this.#pool !== silent) return
     this.#pool = createPool(this.#address, this.#limits)
--- a/src/links/timedPool/test.ts
+++ b/src/links/timedPool/test.ts
@@ -60,6 +60,26 @@
     expect(before.has(used.at(-1) as Socket)).to.equal(false)
   })
 
+  it('keeps the connections while other calls are answered', async () => {
+    const used: Socket[] = []
+    answer = (req, res) => {
+      used.push(req.socket)
+      if (req.url !== '/silent') res.end()
+    }
+    const silent = ask('/silent', 60).catch((err: unknown) => err)
+    await ask('/', GENEROUS_MS)
+    const kept = used.at(-1)
+    expect(await silent).to.be.instanceOf(CallTimeoutError)
+    await ask('/', GENEROUS_MS)
+    expect(used.at(-1)).to.equal(kept)
+  })
+
+  it('tells whether a call that was given up had been sent, or still waited for a connection', async () => {
+    answer = () => {}
+    const calls = await Promise.all(Array.from({ length: LIMITS.connections + 1 }, () => ask('/silent', 60).catch((err: unknown) => err)))
+    expect(calls.map((err) => (err as CallTimeoutError).wasSent)).to.deep.equal([...Array<boolean>(LIMITS.connections).fill(true), false])
+  })
+
   it('lets other calls under way end when one is given up', async () => {
     const waiting = new Map<string, ServerResponse>()
     answer = (req, res) => { waiting.set(req.url ?? '', res) }
--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -3,6 +3,7 @@
 import type { TermContext } from '../../batch/leader/context.js'
 import type { WorkerRecord } from '../../batch/state/records.js'
 import { workerKey, type WorkerReport } from '../../batch/types.js'
+import { isSameRecord, toRecord } from '../workerRecord/index.js'
 import { WorkerSession } from '../session/index.js'
 import type { WorkerCalls } from '../types.js'
 
@@ -72,10 +73,9 @@
     this.#sequences.set(key, report.sequence)
     if (this.#sessions.get(key)?.goneReason != null) return 'late'
     const known = data.workers.get(key)
-    const { state, drainLeftMs, sequence: _, ...rest } = report
-    if (drainLeftMs !== null) this.#drainingUntil.set(key, this.#clock.now() + drainLeftMs)
-    const record: WorkerRecord = { ...rest, isDraining: state === 'draining' || known?.isDraining === true }
-    if (known !== undefined && isSame(known, record)) {
+    if (report.drainLeftMs !== null) this.#drainingUntil.set(key, this.#clock.now() + report.drainLeftMs)
+    const record = toRecord(report, known)
+    if (known !== undefined && isSameRecord(known, record)) {
       if (!this.#sessions.has(key)) this.#open(known)
       return 'taken'
     }
@@ -178,7 +178,3 @@
 function isSamePlace (a: { readonly id: string, readonly machine: string, readonly address: string }, b: { readonly id: string, readonly machine: string, readonly address: string }): boolean {
   return a.id === b.id || a.address === b.address || (a.machine !== '' && a.machine === b.machine)
 }
-
-function isSame (a: WorkerRecord, b: WorkerRecord): boolean {
-  return JSON.stringify(a) === JSON.stringify(b)
-}
