--- a/src/workers/constants.ts
+++ b/src/workers/constants.ts
@@ -15,8 +15,8 @@
 /** Time for the answer to a start, a stop or a pace. */
 export const ORDER_TIMEOUT_MS = 700
 
-/** Starts under way to one worker; of its connections one stays free for stops. */
-export const MAX_STARTS_UNDER_WAY = 5
+/** Starts under way to one worker: an answer takes 3 ms, and each further connection costs the leader more than the wait. */
+export const MAX_STARTS_UNDER_WAY = 2
 
 /** A start that arrives later than this is refused by the worker. */
 export const START_LEASE_MS = 1400
