--- a/src/batch/measureDemand/index.ts
+++ b/src/batch/measureDemand/index.ts
@@ -51,7 +51,7 @@
  * @param arrivalRate - machines that keep up with what comes in
  * @param wall - the wall clock
  */
-export function measureDemand (jobs: readonly MeasuredJob[], room: Resources, arrivalRate: number, wall: Millis): PoolDemand {
+export function measureDemand (jobs: readonly MeasuredJob[], room: Resources, arrivalRate: number, wall: Millis): Omit<PoolDemand, 'isStuck'> {
   const work: Demand[] = []
   let lasting = 0
   let lastingSpread = 0
--- a/src/batch/scheduler/index.ts
+++ b/src/batch/scheduler/index.ts
@@ -2,6 +2,7 @@
 import type { Millis } from '../../clock/index.js'
 import { Notifier } from '../../clock/notifier/index.js'
 import { ArrivalMeter } from '../../pools/arrivalMeter/index.js'
+import { StuckMeter } from '../../pools/stuckMeter/index.js'
 import type { PoolDemand } from '../../pools/machinesNeeded/index.js'
 import type { WorkerRegistry } from '../../workers/registry/index.js'
 import type { WorkerSession } from '../../workers/session/index.js'
@@ -41,6 +42,7 @@
   readonly #policies: SchedulerPolicies
   readonly #work: Notifier
   readonly #arrivals = new Map<string, ArrivalMeter>()
+  readonly #stuck = new StuckMeter()
   /** Workers that have starts on their way to the log. */
   #placing: ReadonlySet<string> = new Set()
   #queues = new Map<string, Queue>()
@@ -126,9 +128,10 @@
     const { clock, state } = this.#context
     const room = this.#roomIn(service)
     const jobs = [...state.activeJobs.values()].filter((job) => this.serviceOf(job) === service)
-    if (room === undefined) return { work: [], arrivalRate: 0, lasting: 0, lastingSpread: 0 }
+    const isStuck = this.#stuck.isStuck(service, clock.now())
+    if (room === undefined) return { work: [], arrivalRate: 0, lasting: 0, lastingSpread: 0, isStuck }
     const arrivalRate = this.#arrivals.get(service)?.rate(clock.now()) ?? 0
-    return measureDemand(this.#describeJobs(jobs), room, arrivalRate, clock.wall())
+    return { ...measureDemand(this.#describeJobs(jobs), room, arrivalRate, clock.wall()), isStuck }
   }
 
   /** Room of a machine of a service, or of any when it has none at the moment. */
@@ -163,7 +166,7 @@
 
   #lostRuns (session: WorkerSession): EndNote[] {
     const outcome = session.goneReason === null ? 'lapsed' : 'lost'
-    return [...this.#context.state.runsOn(session.key)].map(([task, { run }]) => ({ task, run, worker: session.key, outcome, checkpoint: session.orders.get(task)?.checkpoint ?? '' }))
+    return this.#registry.listRunsOver(session).map(([task, run]) => ({ task, run, worker: session.key, outcome, checkpoint: session.orders.get(task)?.checkpoint ?? '' }))
   }
 
   /** Runs on workers that the state does not know any more. */
@@ -237,7 +240,10 @@
     for (const [service, jobs] of byService) {
       const workers = this.#poolOf(service)
       if (workers.length === 0) continue
-      planned.push(...planStarts(workers, this.#groupsOf(service, jobs, clock.wall())))
+      let groups = 0
+      const starts = planStarts(workers, countEach(this.#groupsOf(service, jobs, clock.wall()), () => { groups += 1 }))
+      this.#stuck.observe(service, { isWaiting: groups > 0, starts: starts.length }, clock.now())
+      planned.push(...starts)
     }
     return this.#numberRuns(planned)
   }
@@ -308,6 +314,13 @@
   }
 }
 
+function * countEach<T> (items: Iterable<T>, onItem: () => void): Generator<T> {
+  for (const item of items) {
+    onItem()
+    yield item
+  }
+}
+
 function recordOf (job: JobRecord, place: TaskPlace): TaskRecord | undefined {
   return job.occurrences.get(place.occurrence)?.[place.step]?.tasks[place.index]
 }
--- a/src/pools/machinesNeeded/index.ts
+++ b/src/pools/machinesNeeded/index.ts
@@ -23,6 +23,8 @@
   readonly lasting: number
   /** Fewest machines over which they must be spread. */
   readonly lastingSpread: number
+  /** Tasks wait, and none has started for long: they fit on none of the machines. */
+  readonly isStuck: boolean
 }
 
 /** Work is planned into this share of a machine's room: tasks don't fit without gaps. */
@@ -41,8 +43,9 @@
  * Returns how many machines a service needs.
  *
  * @param demand - what it is asked for
+ * @param have - machines that it has
  */
-export function machinesNeeded ({ work, arrivalRate, lasting, lastingSpread }: PoolDemand): number {
+export function machinesNeeded ({ work, arrivalRate, lasting, lastingSpread, isStuck }: PoolDemand, have: number): number {
   let load = 0
   let backlog = 0
   for (const { load: own, dueInMs } of [...work].sort((a, b) => a.dueInMs - b.dueInMs)) {
@@ -51,5 +54,5 @@
   }
   const busy = Math.max(backlog, arrivalRate) + lasting
   const smallest = lasting > 0 ? Math.max(SMALLEST_LASTING_POOL, lastingSpread) : SMALLEST_POOL
-  return Math.max(smallest, Math.ceil(busy / USABLE_SHARE))
+  return Math.max(smallest, Math.ceil(busy / USABLE_SHARE), isStuck ? have + 1 : 0)
 }
--- a/src/pools/mover/index.ts
+++ b/src/pools/mover/index.ts
@@ -179,7 +179,7 @@
     const { clock, state } = this.#context
     const now = clock.now()
     return [...this.#source.services()].map((service) => {
-      const need = machinesNeeded(this.#source.demandOf(service))
+      const need = machinesNeeded(this.#source.demandOf(service), this.#countIn(service))
       const history = [...(this.#needs.get(service) ?? []).filter(({ at }) => now - at < SURPLUS_MS), { at: now, need }]
       this.#needs.set(service, history)
       const free = this.#sessionsOf(service).filter((session) => !this.#isTaken(session.record.machine))
