--- a/src/workers/constants.ts
+++ b/src/workers/constants.ts
@@ -23,3 +23,13 @@
 
 /** A worker that has not answered for this long is given no work: a look's wait and its time-out. */
 export const SILENT_AFTER_MS = LOOK_WAIT_MS + LOOK_TIMEOUT_MS
+
+/** Pause before the right to give orders is asked for again. */
+export const LEASE_POLL_MS = 20
+
+/** Pauses between looks that fail. */
+export const FIRST_RETRY_MS = 60
+export const MAX_RETRY_MS = 400
+
+/** Longest wait for a commit before the worker is looked at again. */
+export const COMMIT_WAIT_MS = 400
--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -3,6 +3,8 @@
 import type { TermContext } from '../../batch/leader/context.js'
 import type { WorkerRecord } from '../../batch/state/records.js'
 import { workerKey, type WorkerReport } from '../../batch/types.js'
+import { isRunOver, startOf } from '../isRunOver/index.js'
+import { createRunOrder } from '../runOrder/index.js'
 import { isSameRecord, toRecord } from '../workerRecord/index.js'
 import { WorkerSession } from '../session/index.js'
 import type { WorkerCalls } from '../types.js'
@@ -28,6 +30,8 @@
   readonly #sessions = new Map<string, WorkerSession>()
   readonly #sequences = new Map<string, number>()
   readonly #drainingUntil = new Map<string, Millis>()
+  /** Runs that are being barred at a next life. */
+  readonly #barring = new Set<string>()
 
   /**
    * @param context - the term's parts
@@ -122,6 +126,49 @@
     await Promise.all([...this.#sessions.values()].map((session) => session.settleStarts(job)))
   }
 
+  /**
+   * Returns the runs on a worker that can't be at work any more. What a gone life has left unanswered is barred at the next
+   * life under the same id first.
+   *
+   * @param session - a worker whose lease is over
+   */
+  listRunsOver (session: WorkerSession): Array<readonly [task: string, run: number]> {
+    const next = this.#nextLifeOf(session)
+    const over: Array<readonly [string, number]> = []
+    for (const [task, { run }] of this.#context.state.runsOn(session.key)) {
+      const life = { isLeaseOver: session.isLeaseOver, isGone: session.goneReason !== null, isReborn: session.isReborn || next !== undefined, goneMs: session.goneMs }
+      if (isRunOver(life, startOf(session.orders.get(task), run))) over.push([task, run])
+      else if (life.isGone && next !== undefined) this.#barAtNextLife(session, next, task, run)
+    }
+    return over
+  }
+
+  #nextLifeOf ({ record }: WorkerSession): WorkerSession | undefined {
+    for (const other of this.#sessions.values()) {
+      if (other.record.id === record.id && other.record.born > record.born && other.goneReason === null) return other
+    }
+    return undefined
+  }
+
+  #findEarlierLife ({ id, born }: WorkerRecord, task: string, run: number): string | null {
+    for (const { key, record } of this.#sessions.values()) {
+      if (record.id === id && record.born < born && this.#context.state.runsOn(key).get(task)?.run === run) return key
+    }
+    return null
+  }
+
+  #barAtNextLife (session: WorkerSession, next: WorkerSession, task: string, run: number): void {
+    const key = `${next.key} ${task} ${run}`
+    if (this.#barring.has(key)) return
+    this.#barring.add(key)
+    void next.bar(task, run).then((isBarred) => {
+      this.#barring.delete(key)
+      if (!isBarred) return
+      session.orders.set(task, { ...createRunOrder(run, this.#clock.now()), phase: 'barred' })
+      this.#onChange()
+    })
+  }
+
   /** Keys of workers that are to be dismissed: gone or long silent, and without runs in the state. */
   findDismissable (): string[] {
     const keys: string[] = []
@@ -164,7 +211,7 @@
   #open (record: WorkerRecord): void {
     const { clock, log, term, mayOrder, state } = this.#context
     const key = workerKey(record)
-    const session = new WorkerSession(key, record, this.#connect(record), { clock, log, token: term, mayOrder, runsOn: (worker) => state.runsOn(worker), isWanted: (task, run) => state.isWanted(task, run), onChange: this.#onChange })
+    const session = new WorkerSession(key, record, this.#connect(record), { clock, log, token: term, mayOrder, runsOn: (worker) => state.runsOn(worker), isWanted: (task, run) => state.isWanted(task, run), earlierLifeWith: (task, run) => this.#findEarlierLife(record, task, run), onChange: this.#onChange })
     this.#sessions.set(key, session)
     void session.run()
   }
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -1,43 +1,20 @@
 /** The leader's work with one life of a worker: looks, leases, starts and stops. */
 import { Notifier } from '../../clock/notifier/index.js'
-import type { Clock, Millis } from '../../clock/index.js'
+import type { Millis } from '../../clock/index.js'
 import type { EndNote, WorkerRecord } from '../../batch/state/records.js'
 import type { EndedRun, RunningTask } from '../../batch/types.js'
-import type { EventLog } from '../../logs/eventLog/index.js'
 import { LeaseClock } from '../leaseClock/index.js'
+import type { SessionContext, StartOrder } from './types.js'
 import type { OrderAnswer, StartRefusal, WorkerCalls } from '../types.js'
 import { createRunOrder, type RunOrder } from '../runOrder/index.js'
 import { StartQueue } from '../startQueue/index.js'
-import { LEASE_MS, LOOK_TIMEOUT_MS, LOOK_WAIT_MS, MAX_STARTS_UNDER_WAY, ORDER_TIMEOUT_MS, SILENT_AFTER_MS, START_LEASE_MS } from '../constants.js'
-
-/** Surroundings of {@link WorkerSession}. */
-export interface SessionContext {
-  readonly clock: Clock
-  readonly log: EventLog
-  /** Fencing token of the term. */
-  readonly token: number
-  /** Whether this process may give orders at this moment. */
-  readonly mayOrder: () => boolean
-  /** Runs that the replicated state has on a worker. */
-  readonly runsOn: (worker: string) => ReadonlyMap<string, { readonly run: number }>
-  /** Whether a run that was placed is still to be started: its job may have been cancelled. */
-  readonly isWanted: (task: string, run: number) => boolean
-  /** Called when there is something to commit or to plan. */
-  readonly onChange: () => void
-}
-
-/** Start of one task. */
-export interface StartOrder {
-  readonly task: string
-  readonly run: number
-  readonly payload: string
-  readonly checkpoint: string
-  readonly ticket: string | null
-}
+import { COMMIT_WAIT_MS, FIRST_RETRY_MS, LEASE_MS, LEASE_POLL_MS, LOOK_TIMEOUT_MS, LOOK_WAIT_MS, MAX_RETRY_MS, MAX_STARTS_UNDER_WAY, ORDER_TIMEOUT_MS, SILENT_AFTER_MS, START_LEASE_MS } from '../constants.js'
 
 /** Keeps in touch with one life of a worker until it is gone or the term ends. */
 export class WorkerSession {
   readonly orders = new Map<string, RunOrder>()
+  /** Another life has answered in its place, under the same id. */
+  isReborn = false
   /** Why the worker is known to be gone, or null. */
   goneReason: string | null = null
   /** Starts refused in a row because the worker is overloaded or failing. */
@@ -51,6 +28,7 @@
   readonly #committed: Notifier
   readonly #starts: StartQueue
   readonly #stop = new AbortController()
+  #goneAt: Millis = Number.POSITIVE_INFINITY
   #lookedAt: Millis = Number.NEGATIVE_INFINITY
   /** Looks in a row that were not answered. */
   #failures = 0
@@ -83,6 +61,28 @@
     return this.goneReason !== null || (!this.isLive && this.#context.clock.now() > this.#lease.overAt)
   }
 
+  /** How long it has been known to be gone, in milliseconds. */
+  get goneMs (): Millis {
+    return this.#context.clock.now() - this.#goneAt
+  }
+
+  /**
+   * Bars a run that may have reached this life though an earlier one was meant.
+   *
+   * @param task - name of the task
+   * @param run - its run
+   * @returns whether the worker has acknowledged that it never starts, and doesn't go on
+   */
+  async bar (task: string, run: number): Promise<boolean> {
+    if (!this.isLive || !this.#context.mayOrder()) return false
+    try {
+      return (await this.#calls.stop({ token: this.#context.token, task, run }, ORDER_TIMEOUT_MS)).refusal === null
+    } catch (err) {
+      this.#context.log.info('stop.unclear', { task, run, worker: this.key, reason: (err as Error).message })
+      return false
+    }
+  }
+
   /** How long it has not answered, in milliseconds. */
   get silentMs (): Millis {
     return this.#context.clock.now() - this.#lookedAt
@@ -105,6 +105,7 @@
   markGone (reason: string): void {
     if (this.goneReason !== null) return
     this.goneReason = reason
+    this.#goneAt = this.#context.clock.now()
     this.#context.log.info('worker.gone', { worker: this.key, service: this.record.service, reason })
     this.#context.onChange()
     this.end()
@@ -254,6 +255,7 @@
     }
     if (answer.refusal !== null) throw new Error(`the look was refused: ${answer.refusal}`)
     if (answer.born !== this.record.born) {
+      this.isReborn = true
       this.markGone('the worker has started again')
       return
     }
@@ -273,7 +275,7 @@
       listed.add(`${end.task}#${end.run}`)
       if (end.seq <= this.#listedSeq) continue
       this.#listedSeq = end.seq
-      this.#note(end.task, end.run, end.outcome, end.checkpoint)
+      this.#note(end.task, end.run, end.outcome, end.checkpoint, expected.has(end.task) ? this.key : this.#context.earlierLifeWith(end.task, end.run) ?? this.key)
     }
     for (const entry of running) {
       listed.add(`${entry.task}#${entry.run}`)
@@ -317,10 +319,10 @@
     else void this.stop(task, run)
   }
 
-  #note (task: string, run: number, outcome: EndNote['outcome'], checkpoint: string): void {
+  #note (task: string, run: number, outcome: EndNote['outcome'], checkpoint: string, worker = this.key): void {
     const order = this.orders.get(task)
     if (order?.run === run) this.orders.delete(task)
-    this.#notes.push({ task, run, worker: this.key, outcome, checkpoint })
+    this.#notes.push({ task, run, worker, outcome, checkpoint })
     this.#context.onChange()
   }
 
@@ -337,13 +339,3 @@
     if (answer.clockMs !== null) this.#lease.observe(answer.clockMs, this.#context.clock.now())
   }
 }
-
-/** Pause before the right to give orders is asked for again, in milliseconds. */
-const LEASE_POLL_MS: Millis = 20
-
-/** Pauses between looks that fail, in milliseconds. */
-const FIRST_RETRY_MS: Millis = 60
-const MAX_RETRY_MS: Millis = 400
-
-/** Longest wait for a commit before the worker is looked at again, in milliseconds. */
-const COMMIT_WAIT_MS: Millis = 400
--- a/src/workers/session/test.ts
+++ b/src/workers/session/test.ts
@@ -55,7 +55,7 @@
   close (): void {}
 }
 
-function createRig () {
+function createRig (earlierLife: string | null = null) {
   const clock = new ManualClock()
   const worker = new FakeWorker(clock)
   const placed = new Map<string, { run: number }>()
@@ -67,6 +67,7 @@
     mayOrder: () => lease.mayOrder,
     runsOn: () => placed,
     isWanted: (task, run) => placed.get(task)?.run === run,
+    earlierLifeWith: () => earlierLife,
     onChange: () => {}
   })
   void session.run()
@@ -204,4 +205,11 @@
     expect(worker.starts).to.deep.equal(tasks.slice(0, -1))
     expect(session.takeNotes().notes).to.deep.include({ task: last, run: 1, worker: 'w@1', outcome: 'refused', checkpoint: '' })
   })
+
+  it('notes an end for the earlier life of its worker when the start was meant for that one', async () => {
+    const { clock, worker, session } = createRig('w@0')
+    worker.ended = [{ seq: 1, task: TASK, run: 1, outcome: 'done', checkpoint: '' }]
+    await clock.advance(50)
+    expect(session.takeNotes().notes).to.deep.equal([{ task: TASK, run: 1, worker: 'w@0', outcome: 'done', checkpoint: '' }])
+  })
 })
