--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -1,22 +1,45 @@
-/** Runs the mixed scenario over seeds and both deployments until the time is over, and writes each failure with its replay. */
-import { Command } from 'commander'
+/** Soaks: many seeded runs of the real programs under faults, each failure written with its replay. */
+import { Command, Option } from 'commander'
+import { runSoak } from '../integration/soak/run.js'
 import { FLEETS, type DeploymentName } from './harness/fleet.js'
 import { completeResult, listFailures } from './report/index.js'
 import { mixed } from './scenarios/mixed.js'
 
 const SECONDS_PER_RUN = 30
 
+/** Seconds of faults in one run of jobs on the users' platform. */
+const JOBS_SECONDS_PER_RUN = 10
+
 async function main (): Promise<number> {
   const program = new Command('soak')
+    .addOption(new Option('--what <programs>', 'requests: entry and control with all scenarios mixed; jobs: the programs of the users\' platform').choices(['requests', 'jobs']).default('requests'))
     .option('--minutes <m>', 'how long', '30')
     .option('--seed <n>', 'first seed', '1')
     .parse()
-  const { minutes, seed } = program.opts<{ minutes: string, seed: string }>()
+  const { what, minutes, seed } = program.opts<{ what: 'requests' | 'jobs', minutes: string, seed: string }>()
   const until = Date.now() + Number(minutes) * 60_000
+  return await (what === 'jobs' ? soakJobs(Number(seed), until) : soakRequests(Number(seed), until))
+}
+
+async function soakJobs (seed: number, until: number): Promise<number> {
+  let failures = 0
+  let runs = 0
+  for (let next = seed; Date.now() < until; next += 1) {
+    const result = await runSoak(next, JOBS_SECONDS_PER_RUN)
+    runs += 1
+    if (result.violations.length > 0) failures += 1
+    process.stdout.write(`${JSON.stringify({ ...result, ...(result.violations.length > 0 ? { replay: `SEED=${next} npx mocha integration/soak/test.ts` } : {}) })}\n`)
+  }
+  process.stdout.write(`${runs} runs, ${failures} with failures\n`)
+  return failures === 0 ? 0 : 1
+}
+
+/** Runs the mixed scenario over seeds and both deployments. */
+async function soakRequests (seed: number, until: number): Promise<number> {
   const names = Object.keys(FLEETS) as DeploymentName[]
   let failures = 0
   let runs = 0
-  for (let next = Number(seed); Date.now() < until; next += 1) {
+  for (let next = seed; Date.now() < until; next += 1) {
     const head = { scenario: mixed.name, deployment: names[next % names.length] ?? 'inla', faults: [], seed: next, seconds: SECONDS_PER_RUN }
     const replay = `npm run --silent bench -- --scenario mixed --deployment ${head.deployment} --seed ${next} --seconds ${SECONDS_PER_RUN} --json`
     runs += 1
--- a/integration/jobs/deployment.ts
+++ b/integration/jobs/deployment.ts
@@ -32,6 +32,11 @@
     })
   }
 
+  /** @param signal - one after which the process goes on */
+  signal (signal: NodeJS.Signals): void {
+    this.#child.kill(signal)
+  }
+
   async end (signal: NodeJS.Signals): Promise<void> {
     if (this.#child.exitCode !== null || this.#child.signalCode !== null) return
     const ended = new Promise((resolve) => this.#child.once('exit', resolve))
@@ -43,6 +48,7 @@
 /** Three control processes, one entry, and the platform's machines. */
 export class JobDeployment {
   readonly controlAddresses = CONTROL_HOSTS.map((host) => `${host}:${CONTROL_PORT}`)
+  readonly queueHost = ENTRY_HOST
   readonly internalAddresses = CONTROL_HOSTS.map((host) => `${host}:${INTERNAL_PORT}`)
   readonly #folder = mkdtempSync(join(tmpdir(), 'oleanderward-jobs-'))
   readonly #machines = new StandinMachines([])
@@ -52,6 +58,11 @@
   async start (): Promise<void> {
     await this.#machines.listen(MACHINES_ADDRESS)
     for (const i of CONTROL_HOSTS.keys()) this.startControl(i, true)
+    this.startEntry()
+  }
+
+  /** Starts the entry process. */
+  startEntry (): void {
     const path = join(this.#folder, 'entry.json')
     writeFileSync(path, JSON.stringify({ node: 'entry', zone: 'a', internalAddress: `${ENTRY_HOST}:${INTERNAL_PORT}`, internalPort: INTERNAL_PORT, callerAddress: `${ENTRY_HOST}:${ENTRY_PORT}`, healthAddress: `${ENTRY_HOST}:${ENTRY_PORT + 1}`, metricsAddress: `${ENTRY_HOST}:${ENTRY_PORT + 2}`, seeds: this.controlAddresses, stopGraceMs: 3000 }))
     this.#processes.set('entry', new LoggedProcess('target/platform-entry.mjs', path))
@@ -85,6 +96,16 @@
     if (losesDisk) rmSync(join(this.#folder, name.replace('control', 'data')), { recursive: true, force: true })
   }
 
+  /**
+   * Sends a signal after which the process goes on.
+   *
+   * @param name - `entry` or `control-N`
+   * @param signal - stops or continues it
+   */
+  signal (name: string, signal: NodeJS.Signals): void {
+    this.#processes.get(name)?.signal(signal)
+  }
+
   /** All lines written so far, those of ended processes first. */
   get lines (): readonly LogLine[] {
     return [...this.#lines, ...[...this.#processes.values()].flatMap(({ lines }) => lines)]
@@ -105,10 +126,11 @@
    * @param method - of HTTP
    * @param path - below the queue's host
    * @param body - a job, if any
+   * @param timeoutMs - time for the answer
    */
-  async ask (method: string, path: string, body?: string): Promise<{ readonly status: number, readonly body: Readonly<Record<string, unknown>> }> {
+  async ask (method: string, path: string, body?: string, timeoutMs = ASK_TIMEOUT_MS): Promise<{ readonly status: number, readonly body: Readonly<Record<string, unknown>> }> {
     // The queue's host is a name for this address, so that no Host header has to be set by hand.
-    const res = await fetch(`http://${ENTRY_HOST}:${ENTRY_PORT}${path}`, { method, ...(body === undefined ? {} : { body }) })
+    const res = await fetch(`http://${ENTRY_HOST}:${ENTRY_PORT}${path}`, { method, ...(body === undefined ? {} : { body }), signal: AbortSignal.timeout(timeoutMs) })
     const text = await res.text()
     return { status: res.status, body: text === '' ? {} : JSON.parse(text) as Readonly<Record<string, unknown>> }
   }
@@ -130,6 +152,7 @@
 }
 
 const UNTIL_MS = 60_000
+const ASK_TIMEOUT_MS = 30_000
 const PAUSE_MS = 50
 
 /**
