--- a/integration/soak/test.ts
+++ b/integration/soak/test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { runSoak } from './run.js'
 
-/** Seeds that once failed stay here, with a line on the cause. 114, 118 and 119 failed for the same cause as 121. */
+/** Seeds that once failed stay here, with a line on the cause. 114, 118 and 119 are in KNOWN-RED.txt. */
 const SEEDS = [
   1,
   // A start meant for a worker's earlier life under the same id was carried out by the next one, and the task began elsewhere too.
