Make the TimedPool test wait for a condition instead of a time

Cause: all five calls had the same 60 ms. On a busy machine the timers of the first calls fire earlier than the fifth's, their aborts free a connection, and the fifth is then truly sent. The answer of the pool was right, the test's order of events was not given. Change: four calls are sent, which the server confirms; only then the fifth waits for 30 ms. The four flags and the fifth are compared as before.

--- a/src/links/timedPool/test.ts
+++ b/src/links/timedPool/test.ts
@@ -8,6 +8,9 @@
 const LIMITS = { connections: 4, connectMs: 1000, idleMs: 5000 }
 const LONG_TIMEOUT_MS = 20_000
 
+/** Long enough for all calls to be sent on a busy machine. */
+const SENT_TIMEOUT_MS = 3000
+
 describe('TimedPool', () => {
   const connections = new Set<Socket>()
   let answer: (req: IncomingMessage, res: ServerResponse) => void
@@ -75,8 +78,14 @@
   })
 
   it('tells whether a call that timed out had been sent or was still waiting for a connection', async () => {
-    answer = () => {}
-    const calls = await Promise.all(Array.from({ length: LIMITS.connections + 1 }, () => ask('/silent', 60).catch((err: unknown) => err)))
+    const whenAllSent = new Promise<void>((resolve) => {
+      let count = 0
+      answer = () => { if (++count === LIMITS.connections) resolve() }
+    })
+    const sent = Array.from({ length: LIMITS.connections }, () => ask('/silent', SENT_TIMEOUT_MS).catch((err: unknown) => err))
+    await whenAllSent
+    const waiting = await ask('/silent', 30).catch((err: unknown) => err)
+    const calls = [...await Promise.all(sent), waiting]
     expect(calls.map((err) => (err as CallTimeoutError).wasSent)).to.deep.equal([...Array<boolean>(LIMITS.connections).fill(true), false])
   })
 
