--- a/src/batch/leader/index.ts
+++ b/src/batch/leader/index.ts
@@ -62,7 +62,10 @@
     this.term = replica.term
     this.#workNotifier = new Notifier(clock)
     const onWork = (): void => { this.#workNotifier.notify() }
-    const propose: ProposeBatch = (type, input) => replica.propose({ type, at: clock.wall(), ...input })
+    const propose: ProposeBatch = (type, input) => {
+      metrics.count('oleanderward_commands', { type })
+      return replica.propose({ type, at: clock.wall(), ...input })
+    }
     const context: TermContext = { clock, log, metrics, state, term: this.term, holder: deps.id, propose, mayOrder: () => this.mayOrder(), signal: this.#abortController.signal }
     this.#registry = new WorkerRegistry(context, deps.connect, onWork)
     this.#advisor = deps.advisor === null ? null : new Advisor(deps.advisor, clock, log, onWork)
--- a/src/batch/requestHandler/index.ts
+++ b/src/batch/requestHandler/index.ts
@@ -80,6 +80,7 @@
    * @returns the answer; `unclear` when the leader lease is not confirmed
    */
   async answer (req: ControlRequest): Promise<ControlAnswer> {
+    this.#context.metrics.count('oleanderward_leader_requests', { kind: req.kind })
     const handler = this.#handlers[req.kind] as (req: ControlRequest) => Promise<ControlAnswer> | ControlAnswer
     if (!this.#context.mayOrder()) return { kind: 'unclear', reason: LEASE_NOT_CONFIRMED }
     const answer = await handler(req)
--- a/src/metrics/index.ts
+++ b/src/metrics/index.ts
@@ -63,6 +63,11 @@
     histogram.recordValue(Math.min(MAX_LATENCY_MS, Math.max(0, Math.round(ms))))
   }
 
+  /** Returns a copy of all counters, by series. */
+  counters (): ReadonlyMap<string, number> {
+    return new Map(this.#counters)
+  }
+
   /** Returns all series as text, one line each, and one line per percentile for histograms. */
   render (): string {
     const lines: string[] = []
--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -209,9 +209,9 @@
   }
 
   #openSession (record: WorkerRecord): void {
-    const { clock, log, term, mayOrder, state } = this.#context
+    const { clock, log, metrics, term, mayOrder, state } = this.#context
     const key = workerKey(record)
-    const session = new WorkerSession(key, record, this.#connect(record), { clock, log, token: term, mayOrder, runsOn: (worker) => state.runsOn(worker), isRunNeeded: (task, run) => state.isRunNeeded(task, run), earlierIncarnationWith: (task, run) => this.#findEarlierIncarnation(record, task, run), onChange: this.#onChange })
+    const session = new WorkerSession(key, record, this.#connect(record), { clock, log, metrics, token: term, mayOrder, runsOn: (worker) => state.runsOn(worker), isRunNeeded: (task, run) => state.isRunNeeded(task, run), earlierIncarnationWith: (task, run) => this.#findEarlierIncarnation(record, task, run), onChange: this.#onChange })
     this.#sessions.set(key, session)
     void session.run()
   }
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -245,8 +245,9 @@
   }
 
   async #pollOnce (): Promise<void> {
-    const { clock, token } = this.#context
+    const { clock, metrics, token } = this.#context
     const sentAt = clock.now()
+    metrics.count('oleanderward_worker_polls')
     const isFirst = !this.#lease.isKnown
     // Don't renew the lease of an unresponsive worker: each attempt may arrive and would postpone its expiry.
     const leaseEndMs = isFirst || this.#consecutiveFailures > 0 ? null : this.#lease.grant(sentAt, LEASE_MS)
--- a/src/workers/session/test.ts
+++ b/src/workers/session/test.ts
@@ -3,6 +3,7 @@
 import type { EndedRun, RunningTask } from '../../batch/types.js'
 import { ManualClock } from '../../clock/index.js'
 import { EventLog } from '../../logs/eventLog/index.js'
+import { Metrics } from '../../metrics/index.js'
 import { LEASE_MS, POLL_WAIT_MS, MAX_CONCURRENT_STARTS } from '../constants.js'
 import type { WorkerPollRequest, OrderAnswer, OrderRefusal, WorkerCalls } from '../types.js'
 import { WorkerSession } from './index.js'
@@ -63,6 +64,7 @@
   const session = new WorkerSession('w@1', createWorker('w'), worker, {
     clock,
     log: new EventLog('test', clock, { writableLength: 0, write: () => {} }),
+    metrics: new Metrics(),
     token: 7,
     mayOrder: () => lease.mayOrder,
     runsOn: () => placed,
--- a/src/workers/session/types.ts
+++ b/src/workers/session/types.ts
@@ -1,11 +1,13 @@
 /** Types of the session with a worker. */
 import type { Clock } from '../../clock/index.js'
 import type { EventLog } from '../../logs/eventLog/index.js'
+import type { Metrics } from '../../metrics/index.js'
 
 /** Dependencies of {@link WorkerSession}. */
 export interface WorkerSessionContext {
   readonly clock: Clock
   readonly log: EventLog
+  readonly metrics: Metrics
   /** Fencing token of the term. */
   readonly token: number
   /** Whether this process may send orders now: its leader lease is confirmed. */
