Let a scheduling cycle cost what has changed, not what the fleet runs

Cause: each run end starts a cycle, and a cycle described every worker of every service with jobs, listed every task of every job, and parsed every run of the fleet to find runs to stop. The cost of one event grew with the fleet, so that the leader was saturated in surges. Why it works: decisions are the same, since only jobs without startable tasks are left out, which yielded nothing before.

--- a/src/batch/candidates/index.ts
+++ b/src/batch/candidates/index.ts
@@ -25,6 +25,26 @@
   return Math.min(job.repeatCount, Math.floor((wall - job.startAt) / job.intervalMs) + 1)
 }
 
+/**
+ * Returns whether a task of a job may start now. Allocates nothing, since it is called for every active job in each cycle.
+ *
+ * @param job - an active job
+ * @param wall - wall-clock time in milliseconds
+ */
+export function hasStartable (job: JobRecord, wall: Millis): boolean {
+  const due = countDueOccurrences(job, wall)
+  for (let occurrence = 0; occurrence < due; occurrence++) {
+    const records = job.occurrences.get(occurrence)
+    if (records === undefined) return true
+    for (const [i, step] of job.steps.entries()) {
+      const record = records[i] as StepRecord
+      if (record.doneCount === step.count || !areStepsDone(records, step.after)) continue
+      for (const task of record.tasks) if (isStartable(task, step, wall)) return true
+    }
+  }
+  return false
+}
+
 /**
  * Lists the groups of tasks that may start now.
  *
@@ -42,7 +62,7 @@
       const stepKey = `${job.id}.${occurrence}.${i}`
       const waiting = record.tasks
         .map((task, index) => ({ task, index }))
-        .filter(({ task }) => !task.isDone && task.active.length === 0 && hasRetryDelayPassed(task, step, wall))
+        .filter(({ task }) => isStartable(task, step, wall))
       if (waiting.length === 0) continue
       const allowed = getAllowedWorkers(stepKey, job, step)
       if (allowed === undefined) continue
@@ -54,6 +74,10 @@
   }
 }
 
+function isStartable (task: TaskRecord, step: Step, wall: Millis): boolean {
+  return !task.isDone && task.active.length === 0 && hasRetryDelayPassed(task, step, wall)
+}
+
 function areStepsDone (records: readonly StepRecord[], steps: readonly number[]): boolean {
   return steps.every((i) => {
     const record = records[i]
--- a/src/batch/scheduler/index.ts
+++ b/src/batch/scheduler/index.ts
@@ -6,7 +6,7 @@
 import type { PoolDemand } from '../../pools/machinesNeeded/index.js'
 import type { WorkerRegistry } from '../../workers/registry/index.js'
 import type { WorkerSession } from '../../workers/session/index.js'
-import { listStartable } from '../candidates/index.js'
+import { hasStartable, listStartable } from '../candidates/index.js'
 import { countCores, forecastJob } from '../jobObjective/index.js'
 import type { TermContext } from '../leader/context.js'
 import { computeLoad, measureDemand, type MeasuredJob } from '../measureDemand/index.js'
@@ -196,19 +196,14 @@
   }
 
   #stopObsoleteRuns (): void {
-    const { state } = this.#context
-    for (const session of this.#registry.sessions) {
-      for (const [task, { run }] of state.runsOn(session.key)) {
-        const position = parseTask(task)
-        const job = position === null ? undefined : state.data.jobs.get(position.job)
-        if (position === null || job === undefined) continue
-        const order = session.orders.get(task)
-        if (order?.isStopRequested === true && order.run === run) continue
-        const isDone = findTaskRecord(job, position)?.isDone === true
-        if (job.state === 'active' && !isDone) continue
-        this.#context.log.info('run.stopping', { task, run, worker: session.key, reason: isDone ? 'the task is already done' : `the job is ${job.state}` })
-        void session.stop(task, run)
-      }
+    const { state, log } = this.#context
+    for (const [{ run, worker }, task] of state.unneededRuns) {
+      const session = this.#registry.sessionOf(worker)
+      const order = session?.orders.get(task)
+      if (session === undefined || (order?.isStopRequested === true && order.run === run)) continue
+      const job = state.data.jobs.get((parseTask(task) as TaskPosition).job)
+      log.info('run.stopping', { task, run, worker, reason: job?.state === 'active' ? 'the task is already done' : `the job is ${job?.state}` })
+      void session.stop(task, run)
     }
   }
 
@@ -235,19 +230,24 @@
   #planPlacements (): Placement[] {
     const { state, clock } = this.#context
     this.#refreshQueues()
+    const wall = clock.wall()
     const byService = new Map<string, JobRecord[]>()
     for (const job of state.activeJobs.values()) {
       const service = this.getService(job)
-      const jobs = byService.get(service)
-      if (jobs === undefined) byService.set(service, [job])
-      else jobs.push(job)
+      let waiting = byService.get(service)
+      if (waiting === undefined) byService.set(service, waiting = [])
+      if (hasStartable(job, wall)) waiting.push(job)
     }
     const planned: PlannedStart[] = []
-    for (const [service, jobs] of byService) {
+    for (const [service, waiting] of byService) {
+      if (waiting.length === 0) {
+        this.#starvationDetector.observe(service, { isWaiting: false, starts: 0 }, clock.now())
+        continue
+      }
       const workers = this.#listPoolWorkers(service)
       if (workers.length === 0) continue
       let groups = 0
-      const starts = planStarts(workers, countEach(this.#listStartGroups(service, jobs, clock.wall()), () => { groups += 1 }))
+      const starts = planStarts(workers, countEach(this.#listStartGroups(service, waiting, wall), () => { groups += 1 }))
       this.#starvationDetector.observe(service, { isWaiting: groups > 0, starts: starts.length }, clock.now())
       planned.push(...starts)
     }
--- a/src/batch/state/handlers.ts
+++ b/src/batch/state/handlers.ts
@@ -1,6 +1,6 @@
 /** Command handlers of the replicated state. All handlers are deterministic. */
 import type { Millis } from '../../clock/index.js'
-import { parseTask } from '../types.js'
+import { formatTask, parseTask } from '../types.js'
 import type { ActiveRun, BatchCommandOf, BatchCommandType, BatchData, RunEnd, JobRecord, StepRecord, TaskRecord, MaintenanceState, WorkerRecord } from './records.js'
 
 /** Number of workers kept in {@link TaskRecord.failedOn}. */
@@ -14,7 +14,9 @@
   onJobStarted (job: JobRecord): void
   onJobEnded (job: JobRecord): void
   onRunAdded (worker: string, task: string, run: ActiveRun): void
-  onRunEnded (worker: string, task: string, run: number): void
+  onRunEnded (task: string, run: ActiveRun): void
+  /** Called when a task is done while other runs of it are still active. */
+  onTaskDone (task: string, record: TaskRecord): void
 }
 
 type Handler<K extends BatchCommandType> = (data: BatchData, command: BatchCommandOf<K>, observer: StateObserver) => unknown
@@ -143,7 +145,7 @@
   if (step === undefined || task === undefined || active === undefined) return
   task.active = task.active.filter((other) => other !== active)
   task.lastEndAt = at
-  observer.onRunEnded(active.worker, end.task, active.run)
+  observer.onRunEnded(end.task, active)
   const isGang = job.steps[position.step]?.isGang === true
   if (end.checkpoint !== '' && !task.isDone) {
     for (const member of isGang ? step.tasks : [task]) member.checkpoint = end.checkpoint
@@ -153,7 +155,13 @@
   if (job.steps[position.step]?.isLasting === true) return
   if (end.outcome === 'done') {
     const wasDone = areAllDone(steps)
-    finishTasks(step, isGang ? step.tasks : [task])
+    for (const index of isGang ? step.tasks.keys() : [position.index]) {
+      const member = step.tasks[index] as TaskRecord
+      if (member.isDone) continue
+      member.isDone = true
+      step.doneCount += 1
+      if (member.active.length > 0) observer.onTaskDone(formatTask({ ...position, index }), member)
+    }
     if (!wasDone && areAllDone(steps)) job.doneOccurrences += 1
     if (job.doneOccurrences >= Math.max(1, job.repeatCount)) endJob(job, 'completed', at, observer)
   } else if (end.outcome === 'failed') {
@@ -168,14 +176,6 @@
   return steps.every(({ tasks, doneCount }) => doneCount === tasks.length)
 }
 
-function finishTasks (step: StepRecord, tasks: readonly TaskRecord[]): void {
-  for (const task of tasks) {
-    if (task.isDone) continue
-    task.isDone = true
-    step.doneCount += 1
-  }
-}
-
 function endJob (job: JobRecord, state: 'completed' | 'failed' | 'cancelled', at: Millis, observer: StateObserver): void {
   if (job.state !== 'active') return
   job.state = state
--- a/src/batch/state/index.ts
+++ b/src/batch/state/index.ts
@@ -3,7 +3,7 @@
 import type { StateMachine } from '../../consensus/types.js'
 import { formatTask, parseTask } from '../types.js'
 import { BATCH_HANDLERS, type StateObserver } from './handlers.js'
-import type { ActiveRun, BatchCommand, BatchData, JobRecord } from './records.js'
+import type { ActiveRun, BatchCommand, BatchData, JobRecord, TaskRecord } from './records.js'
 
 /** Number of active jobs without any placement, by queue key. */
 type PendingCounts = Map<string, number>
@@ -14,6 +14,8 @@
   #activeJobs = new Map<string, JobRecord>()
   #pendingCounts: PendingCounts = new Map()
   #runsByWorker = new Map<string, Map<string, ActiveRun>>()
+  /** Runs that may be running although their task is done or their job has ended, with their task. */
+  #unneededRuns = new Map<ActiveRun, string>()
   /** Updates the indexes with each change that a handler makes. */
   readonly #observer: StateObserver = {
     onJobAdded: (job) => {
@@ -24,15 +26,18 @@
     onJobEnded: (job) => {
       this.#activeJobs.delete(job.id)
       if (!job.hasStarted && job.repeatCount === 0) this.#addToPendingCount(job, -1)
+      forEachActiveTask(job, (task, record) => { this.#addUnneededRuns(task, record) })
     },
+    onTaskDone: (task, record) => { this.#addUnneededRuns(task, record) },
     onRunAdded: (worker, task, run) => {
       const runs = this.#runsByWorker.get(worker) ?? new Map<string, ActiveRun>()
       this.#runsByWorker.set(worker, runs.set(task, run))
     },
-    onRunEnded: (worker, task, run) => {
-      const runs = this.#runsByWorker.get(worker)
-      if (runs?.get(task)?.run === run) runs.delete(task)
-      if (runs?.size === 0) this.#runsByWorker.delete(worker)
+    onRunEnded: (task, run) => {
+      const runs = this.#runsByWorker.get(run.worker)
+      if (runs?.get(task)?.run === run.run) runs.delete(task)
+      if (runs?.size === 0) this.#runsByWorker.delete(run.worker)
+      this.#unneededRuns.delete(run)
     }
   }
 
@@ -63,6 +68,11 @@
     return this.#runsByWorker.get(worker) ?? NO_RUNS
   }
 
+  /** Runs that may be running although their task is done or their job has ended, with their task. */
+  get unneededRuns (): ReadonlyMap<ActiveRun, string> {
+    return this.#unneededRuns
+  }
+
   /**
    * Returns whether a placed run should still be started: its job is active, its task not done and its end not recorded.
    *
@@ -98,6 +108,7 @@
     this.#activeJobs = new Map()
     this.#pendingCounts = new Map()
     this.#runsByWorker = new Map()
+    this.#unneededRuns = new Map()
     for (const job of this.#data.jobs.values()) this.#index(job)
   }
 
@@ -106,13 +117,14 @@
       this.#activeJobs.set(job.id, job)
       if (!job.hasStarted && job.repeatCount === 0) this.#addToPendingCount(job, 1)
     }
-    for (const [occurrence, steps] of job.occurrences) {
-      steps.forEach(({ tasks }, step) => {
-        tasks.forEach((task, index) => {
-          for (const run of task.active) this.#observer.onRunAdded(run.worker, formatTask({ job: job.id, occurrence, step, index }), run)
-        })
-      })
-    }
+    forEachActiveTask(job, (task, record) => {
+      for (const run of record.active) this.#observer.onRunAdded(run.worker, task, run)
+      if (job.state !== 'active' || record.isDone) this.#addUnneededRuns(task, record)
+    })
+  }
+
+  #addUnneededRuns (task: string, { active }: TaskRecord): void {
+    for (const run of active) this.#unneededRuns.set(run, task)
   }
 
   #addToPendingCount (job: JobRecord, change: number): void {
@@ -120,6 +132,15 @@
   }
 }
 
+/** Calls a function for each task with runs that may be running. */
+function forEachActiveTask (job: JobRecord, onTask: (task: string, record: TaskRecord) => void): void {
+  for (const [occurrence, steps] of job.occurrences) {
+    steps.forEach(({ tasks }, step) => {
+      tasks.forEach((record, index) => { if (record.active.length > 0) onTask(formatTask({ job: job.id, occurrence, step, index }), record) })
+    })
+  }
+}
+
 const NO_RUNS: ReadonlyMap<string, ActiveRun> = new Map()
 
 function createBatchData (): BatchData {
--- a/src/batch/state/test.ts
+++ b/src/batch/state/test.ts
@@ -57,6 +57,34 @@
     expect(harness.state.runsOn('w@1').size).to.equal(1)
   })
 
+  it('lists the runs of a job that has ended until they have ended, also after a restore', () => {
+    const harness = createHarness()
+    harness.accept({ steps: [createStep({ count: 2 })] })
+    harness.place(`${ID}.0.0.0`, 1)
+    harness.place(`${ID}.0.0.1`, 1, 'x@1')
+    expect([...harness.state.unneededRuns.values()]).to.deep.equal([])
+    harness.apply('cancel', { ids: [ID] })
+    const restored = new BatchState()
+    restored.restore(harness.state.serialize())
+    for (const state of [harness.state, restored]) expect([...state.unneededRuns.values()]).to.deep.equal([`${ID}.0.0.0`, `${ID}.0.0.1`])
+    harness.end(`${ID}.0.0.0`, 1, 'stopped')
+    expect([...harness.state.unneededRuns]).to.have.length(1)
+    expect([...harness.state.unneededRuns.keys()][0]).to.include({ run: 1, worker: 'x@1' })
+  })
+
+  it('lists the other run of a task that is done, but not the runs of other tasks', () => {
+    const harness = createHarness()
+    harness.accept({ steps: [createStep({ count: 2 })] })
+    harness.place(`${ID}.0.0.0`, 1, 'x@1')
+    harness.place(`${ID}.0.0.0`, 2)
+    harness.place(`${ID}.0.0.1`, 1)
+    harness.end(`${ID}.0.0.0`, 2, 'done')
+    expect([...harness.state.unneededRuns].map(([{ run, worker }, task]) => ({ run, worker, task }))).to.deep.equal([{ run: 1, worker: 'x@1', task: `${ID}.0.0.0` }])
+    const restored = new BatchState()
+    restored.restore(harness.state.serialize())
+    expect([...restored.unneededRuns.values()]).to.deep.equal([`${ID}.0.0.0`])
+  })
+
   it('completes a job with its last task, not before', () => {
     const harness = createHarness()
     harness.accept({ steps: [createStep(), createStep({ after: [0], count: 2 })] })
