Look up a queue among those of its host only

Change: an index of the queues by host, built once for each configuration. Measured: the tests of matchQueue pass; its share of the leader's time was not measured.

--- a/src/batch/matchQueue/index.ts
+++ b/src/batch/matchQueue/index.ts
@@ -12,9 +12,27 @@
 export function matchQueue (config: QueueConfig, host: string, path: string): Queue | undefined {
   const hostname = (host.split(':')[0] as string).toLowerCase()
   let best: Queue | undefined
-  for (const queue of config.queues) {
-    if (queue.host.toLowerCase() !== hostname || !path.startsWith(queue.prefix)) continue
+  for (const queue of queuesByHost(config).get(hostname) ?? []) {
+    if (!path.startsWith(queue.prefix)) continue
     if (best === undefined || queue.prefix.length > best.prefix.length) best = queue
   }
   return best
 }
+
+const indexes = new WeakMap<QueueConfig, Map<string, Queue[]>>()
+
+/** Returns the queues by host in lower case. Built once for each configuration, since it may have hundreds of queues. */
+function queuesByHost (config: QueueConfig): ReadonlyMap<string, readonly Queue[]> {
+  let index = indexes.get(config)
+  if (index === undefined) {
+    index = new Map()
+    for (const queue of config.queues) {
+      const host = queue.host.toLowerCase()
+      const queues = index.get(host)
+      if (queues === undefined) index.set(host, [queue])
+      else queues.push(queue)
+    }
+    indexes.set(config, index)
+  }
+  return index
+}
