--- a/src/batch/scheduler/index.ts
+++ b/src/batch/scheduler/index.ts
@@ -1,4 +1,4 @@
-/** Control loop of the leader for jobs: records run ends, stops obsolete runs and starts the tasks that may start. */
+/** Control loop of the leader for jobs: records run ends, stops unneeded runs and starts the tasks that may start. */
 import type { Millis } from '../../clock/index.js'
 import { Notifier } from '../../clock/notifier/index.js'
 import { ArrivalMeter } from '../../pools/arrivalMeter/index.js'
@@ -153,7 +153,7 @@
   async #runCycle (): Promise<void> {
     await this.#recordRunEnds()
     if (this.#context.signal.aborted) return
-    this.#stopObsoleteRuns()
+    this.#stopUnneededRuns()
     await this.#startWaitingTasks()
     await this.#dismissGoneWorkers()
   }
@@ -195,7 +195,7 @@
     } else if (end.outcome === 'failed') this.#stats.observeFailedRun(end.worker, clock.now())
   }
 
-  #stopObsoleteRuns (): void {
+  #stopUnneededRuns (): void {
     const { state, log } = this.#context
     for (const [{ run, worker }, task] of state.unneededRuns) {
       const session = this.#registry.sessionOf(worker)
