Keep the connection of a call that timed out for its late answer

Change: between our own processes a call that timed out while others were answered keeps its connection for the answer, 2 s at most. Test: the new test of TimedPool failed before (3 connections instead of 2).

--- a/src/links/msgpackLink/index.ts
+++ b/src/links/msgpackLink/index.ts
@@ -9,6 +9,9 @@
 /** When all entries connect to a new leader at once, requests on further connections would only wait there. */
 const MAX_CONNECTIONS = 4
 
+/** The longest that a saturated leader was seen to take for an answer, after the timeout of the call. */
+const LATE_ANSWER_MS = 2000
+
 const HTTP_OK = 200
 
 const MSGPACK_HEADERS = { 'content-type': 'application/msgpack' }
@@ -26,7 +29,7 @@
 
   /** @param address - host and port */
   constructor (readonly address: string) {
-    this.#pool = new TimedPool(address, { connections: MAX_CONNECTIONS, connectMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_CONNECTION_MS })
+    this.#pool = new TimedPool(address, { connections: MAX_CONNECTIONS, connectMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_CONNECTION_MS, lateAnswerMs: LATE_ANSWER_MS })
   }
 
   /**
--- a/src/links/timedPool/index.ts
+++ b/src/links/timedPool/index.ts
@@ -13,10 +13,19 @@
   }
 }
 
+/** Limits of a pool whose calls have timeouts. */
+export interface TimedPoolLimits extends PoolLimits {
+  /**
+   * How long a call that timed out keeps its connection for the late answer, while other calls are answered; 0 by default.
+   * Closing the connection doesn't take the call back, and a busy process would have to accept another one.
+   */
+  readonly lateAnswerMs?: Millis
+}
+
 /** Replaces its connections after a timeout during which the other side has answered no call at all. */
 export class TimedPool {
   readonly #address: string
-  readonly #limits: PoolLimits
+  readonly #limits: TimedPoolLimits
   #pool: Pool
   /** Number of answers received on the current connections. */
   #answerCount = 0
@@ -25,7 +34,7 @@
    * @param address - host and port
    * @param limits - number and timeouts of connections
    */
-  constructor (address: string, limits: PoolLimits) {
+  constructor (address: string, limits: TimedPoolLimits) {
     this.#address = address
     this.#limits = limits
     this.#pool = createPool(address, limits)
@@ -42,18 +51,25 @@
   async request (req: BufferedRequest, timeoutMs: Millis): Promise<BytesAnswer> {
     const pool = this.#pool
     const answersBefore = this.#answerCount
-    const { answer, wasSent, abort } = sendRequest(pool, req)
-    const timeout = setTimeout(() => {
-      abort(new CallTimeoutError(wasSent()))
-      if (this.#answerCount === answersBefore) this.#replacePool(pool)
-    }, timeoutMs)
-    try {
-      const res = await answer
-      if (this.#pool === pool) this.#answerCount += 1
-      return res
-    } finally {
-      clearTimeout(timeout)
-    }
+    const pending = sendRequest(pool, req)
+    let timeout: NodeJS.Timeout | undefined
+    const timedOut = new Promise<never>((_resolve, reject) => {
+      timeout = setTimeout(() => {
+        const err = new CallTimeoutError(pending.wasSent())
+        const isResponsive = this.#answerCount !== answersBefore
+        if (isResponsive && err.wasSent) timeout = setTimeout(() => { pending.abort(err) }, this.#limits.lateAnswerMs ?? 0)
+        else pending.abort(err)
+        if (!isResponsive) this.#replacePool(pool)
+        reject(err)
+      }, timeoutMs)
+    })
+    const answered = pending.answer
+      .then((res) => {
+        if (this.#pool === pool) this.#answerCount += 1
+        return res
+      })
+      .finally(() => { clearTimeout(timeout) })
+    return await Promise.race([answered, timedOut])
   }
 
   /**
--- a/src/links/timedPool/test.ts
+++ b/src/links/timedPool/test.ts
@@ -77,6 +77,43 @@
     expect(used.at(-1)).to.equal(kept)
   })
 
+  it('keeps the connection of a call that timed out for its late answer, so that a slow process need not accept another one', async () => {
+    const slowPool = new TimedPool(ADDRESS, { ...LIMITS, connections: 2, lateAnswerMs: LONG_TIMEOUT_MS })
+    const askSlowly = (path: string, timeoutMs: number) => slowPool.requestText({ path, method: 'POST', headers: {}, body: 'question' }, timeoutMs).finally(() => new Promise((resolve) => setImmediate(resolve)))
+    const waiting: ServerResponse[] = []
+    answer = (req, res) => {
+      if (req.url === '/slow') waiting.push(res)
+      else res.end('quick')
+    }
+    const late = askSlowly('/slow', 60).catch((err: unknown) => err)
+    await askSlowly('/', LONG_TIMEOUT_MS)
+    expect(await late).to.be.instanceOf(CallTimeoutError).with.property('wasSent', true)
+    waiting[0]?.end('late')
+    await Promise.all(Array.from({ length: 4 }, () => askSlowly('/', LONG_TIMEOUT_MS)))
+    expect(connections.size).to.equal(2)
+    slowPool.close()
+  })
+
+  it('does not send a call later that timed out while it waited for a connection', async () => {
+    const slowPool = new TimedPool(ADDRESS, { ...LIMITS, connections: 1, lateAnswerMs: LONG_TIMEOUT_MS })
+    const paths: string[] = []
+    const waiting: ServerResponse[] = []
+    answer = (req, res) => {
+      paths.push(req.url ?? '')
+      if (req.url === '/slow') waiting.push(res)
+      else res.end()
+    }
+    const request = (path: string, timeoutMs: number) => slowPool.requestText({ path, method: 'POST', headers: {}, body: 'question' }, timeoutMs)
+    const slow = request('/slow', LONG_TIMEOUT_MS)
+    const err = await request('/queued', 60).catch((err: unknown) => err)
+    expect(err).to.be.instanceOf(CallTimeoutError).with.property('wasSent', false)
+    waiting[0]?.end()
+    await slow
+    await request('/last', LONG_TIMEOUT_MS)
+    expect(paths).to.deep.equal(['/slow', '/last'])
+    slowPool.close()
+  })
+
   it('tells whether a call that timed out had been sent or was still waiting for a connection', async () => {
     const whenAllSent = new Promise<void>((resolve) => {
       let count = 0
