Pass requests of control processes on to the leader that their own log knows

Cause: a control process that doesn't lead passed reports and configurations on with a leader of its own guessing. Change: each change of the leader in the log reaches the client, which ends attempts elsewhere; members that have just not answered are asked last.

--- a/src/control/member/index.ts
+++ b/src/control/member/index.ts
@@ -29,6 +29,8 @@
   readonly membershipManager: MembershipManager
   /** Returns whether a worker's report contains nothing beyond the replicated state. */
   readonly isKnownReport: (report: WorkerReport) => boolean
+  /** Called with the leader's address, or null while there is none, and the members' addresses, whenever the leader changes. */
+  readonly onLeader: (leader: string | null, members: readonly string[]) => void
   /** Begins a term as leader; called once this member is a ready leader. */
   readonly beginTerm: () => BatchLeader
 }
@@ -135,9 +137,15 @@
   }
 
   async #watchLeadership (): Promise<void> {
-    const { replica, beginTerm } = this.#deps
+    const { replica, beginTerm, onLeader } = this.#deps
+    let knownLeader: string | null = null
     while (!this.#stop.signal.aborted) {
       const seen = replica.changed.count
+      const leader = replica.leader?.address ?? null
+      if (leader !== knownLeader) {
+        knownLeader = leader
+        onLeader(leader, replica.status().members.map(({ address }) => address))
+      }
       if (this.#leader !== null && (!replica.isReadyLeader || replica.term !== this.#leader.term)) {
         this.#leader.end()
         this.#leader = null
--- a/src/links/leaderClient/index.ts
+++ b/src/links/leaderClient/index.ts
@@ -12,6 +12,9 @@
 /** Pause before the next attempt when no leader is known or an attempt has failed. */
 const RETRY_PAUSE_MS: Millis = 60
 
+/** A process that did not answer is asked again after this time, or earlier when all the others did not answer either. */
+const UNRESPONSIVE_PAUSE_MS: Millis = 2000
+
 /** Error codes which guarantee that the other side has received nothing. */
 const NOT_SENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
@@ -32,6 +35,7 @@
 
 interface PendingAttempt {
   readonly target: string
+  readonly startedAt: Millis
   readonly abandon: (err: Error) => void
 }
 
@@ -44,6 +48,8 @@
   #leader: string | null = null
   #nextMemberIndex = 0
   readonly #pendingAttempts = new Set<PendingAttempt>()
+  /** When the last attempt at a process failed; an answer removes it. */
+  readonly #failedAt = new Map<string, Millis>()
   #lastAnswerAt: Millis = Number.NEGATIVE_INFINITY
 
   /**
@@ -62,6 +68,13 @@
     return this.#lastAnswerAt
   }
 
+  /** Clock reading at which the oldest attempt in flight began; infinity when none is in flight. */
+  get waitingSince (): Millis {
+    // The attempts are kept in the order in which they began.
+    const oldest: PendingAttempt | undefined = this.#pendingAttempts.values().next().value
+    return oldest?.startedAt ?? Number.POSITIVE_INFINITY
+  }
+
   /** Address of the last known leader, or null. */
   get leader (): string | null {
     return this.#leader
@@ -90,6 +103,7 @@
       }
       try {
         const answer = await this.#attempt(target, req, Math.min(ATTEMPT_TIMEOUT_MS, remainingMs))
+        this.#failedAt.delete(target)
         if (answer.kind === 'redirect') {
           reason = `${target} is not the leader`
           this.#followRedirect(answer, target)
@@ -107,12 +121,25 @@
       } catch (err) {
         reason = (err as Error).message
         if (!wasNotSent(err)) isCertainlyNotDone = false
+        if (!(err instanceof LeaderChangedError)) this.#failedAt.set(target, this.#clock.now())
         if (this.#leader === target) this.#setLeader(null)
         if (attempt > 0) await this.#clock.sleep(Math.min(RETRY_PAUSE_MS, Math.max(0, deadline - this.#clock.now())))
       }
     }
   }
 
+  /**
+   * Takes note of the leader that another source knows, such as the log of a control process. Attempts at other processes end
+   * at once.
+   *
+   * @param leader - address of the leader, or null while there is none
+   * @param members - addresses of the group's members; empty when unknown
+   */
+  learnLeader (leader: string | null, members: readonly string[] = []): void {
+    if (members.length > 0) this.#members = members
+    this.#setLeader(leader)
+  }
+
   /**
    * Calls every control process, so that a connection to the next leader is open when the current one is lost.
    *
@@ -124,8 +151,11 @@
   }
 
   #followRedirect ({ leader, members }: Extract<ControlAnswer, { readonly kind: 'redirect' }>, target: string): void {
-    if (members.length > 0) this.#members = members
-    this.#setLeader(leader === target ? null : leader)
+    this.learnLeader(leader === target ? null : leader, members)
+  }
+
+  #isUnresponsive (address: string): boolean {
+    return this.#clock.now() - (this.#failedAt.get(address) ?? Number.NEGATIVE_INFINITY) < UNRESPONSIVE_PAUSE_MS
   }
 
   #setLeader (leader: string | null): void {
@@ -138,7 +168,7 @@
   /** Makes one attempt, which ends early when another process turns out to lead. */
   #attempt (target: string, req: ControlRequest, timeoutMs: Millis): Promise<ControlAnswer> {
     return new Promise((resolve, reject) => {
-      const attempt = { target, abandon: reject }
+      const attempt = { target, startedAt: this.#clock.now(), abandon: reject }
       this.#pendingAttempts.add(attempt)
       const removeAttempt = (): void => { this.#pendingAttempts.delete(attempt) }
       this.#links.to(target).call<ControlAnswer>('ask', req, timeoutMs).finally(removeAttempt).then(resolve, reject)
@@ -149,11 +179,14 @@
     return [...new Set([...this.#members, ...this.#seeds()])]
   }
 
+  /** Picks the members in turn, leaving out those that have just not answered while there are others. */
   #pickMember (): string | null {
     const all = this.#listMembers()
-    if (all.length === 0) return null
-    this.#nextMemberIndex = (this.#nextMemberIndex + 1) % all.length
-    return all[this.#nextMemberIndex] ?? null
+    const responsive = all.filter((address) => !this.#isUnresponsive(address))
+    const candidates = responsive.length > 0 ? responsive : all
+    if (candidates.length === 0) return null
+    this.#nextMemberIndex = (this.#nextMemberIndex + 1) % candidates.length
+    return candidates[this.#nextMemberIndex] ?? null
   }
 }
 
--- a/src/links/leaderClient/test.ts
+++ b/src/links/leaderClient/test.ts
@@ -97,6 +97,27 @@
     }
   })
 
+  it('aborts an attempt at the former leader when told that another process leads', async () => {
+    const { clock, leaderClient, ask } = createFixture({ a: () => new Promise(() => {}), b: accept })
+    leaderClient.learnLeader('a')
+    const asked = ask()
+    await clock.advance(100)
+    leaderClient.learnLeader('b')
+    await clock.advance(100)
+    const { answer, tookMs } = await asked
+    expect(answer.kind).to.equal('accepted')
+    expect(tookMs).to.be.within(100, 200)
+  })
+
+  it('asks a process that has just not answered again only when no other is left', async () => {
+    const { clock, links, ask } = createFixture({ a: refuse, b: redirect(null), c: redirect(null) })
+    const asked = ask()
+    await clock.advance(DEADLINE_MS)
+    await asked
+    expect(links.calls.filter((address) => address === 'a').length).to.equal(1)
+    expect(links.calls.length).to.be.above(4)
+  })
+
   it('calls every control process to keep connections open', async () => {
     const { links, leaderClient } = createFixture({ a: accept, b: refuse })
     expect(await leaderClient.keepConnectionsOpen()).to.equal(1)
