Ping the leader once a second while nobody waits for it

Change: an entry pings after 250 ms of silence only when a request has waited that long, or while the leader is lost; otherwise once a second. The loss of a leader that no request waits for is therefore noticed up to a second later.

--- a/src/links/leaderWatch/index.ts
+++ b/src/links/leaderWatch/index.ts
@@ -3,14 +3,18 @@
 import type { EventLog } from '../../logs/eventLog/index.js'
 import type { LeaderClient } from '../leaderClient/index.js'
 
-/** The leader must have answered this recently, and answer a ping this soon, for its loss to be noticed before a successor is elected. */
+/** A leader that leaves a request unanswered for this long, and then a ping, is lost; that is noticed before a successor is elected. */
 export const MAX_SILENCE_MS: Millis = 250
 const PING_TIMEOUT_MS: Millis = 450
+const CHECK_INTERVAL_MS: Millis = 125
 
-/** Answers to pings also bring the members of the group, which change when a member is replaced. */
+/**
+ * Interval of the pings of an idle process, which show that it is ready to serve. Their answers also bring the members of the
+ * group, which change when a member is replaced. Every entry process pings the one leader, so the interval is long.
+ */
 export const MAX_PING_INTERVAL_MS: Millis = 1000
 
-/** Pings the leader unless its answers to other requests already show that it is there. */
+/** Pings the leader when requests wait for it, unless its answers to other requests already show that it is there. */
 export class LeaderWatch {
   readonly #leaderClient: LeaderClient
   readonly #clock: Clock
@@ -39,7 +43,9 @@
       const now = this.#clock.now()
       let isReached = true
       let reason: string | undefined
-      if (now - this.#leaderClient.lastAnswerAt >= MAX_SILENCE_MS || now - pingedAt >= MAX_PING_INTERVAL_MS) {
+      const isSilent = now - this.#leaderClient.lastAnswerAt >= MAX_SILENCE_MS
+      const isAnswerMissing = !wasReached || now - this.#leaderClient.waitingSince >= MAX_SILENCE_MS
+      if ((isSilent && isAnswerMissing) || now - pingedAt >= MAX_PING_INTERVAL_MS) {
         pingedAt = now
         const answer = await this.#leaderClient.ask({ kind: 'ping' }, now + PING_TIMEOUT_MS)
         isReached = answer.kind !== 'unanswered'
@@ -47,8 +53,7 @@
       }
       if (isReached !== wasReached) this.#log.info(isReached ? 'leader.reached' : 'leader.lost', { leader: this.#leaderClient.leader, reason })
       wasReached = isReached
-      const silentMs = isReached ? this.#clock.now() - this.#leaderClient.lastAnswerAt : 0
-      await this.#clock.sleep(Math.max(1, MAX_SILENCE_MS - silentMs), signal)
+      await this.#clock.sleep(CHECK_INTERVAL_MS, signal)
     }
   }
 }
