Commit the marks of a wave's cycle together

Change: the machines that go down in one cycle are one command, as are those that have returned. Test: a wave of 12 machines took 24 commits and more in place of 12 to 18 (failed before).

--- a/src/maintenance/runner/index.ts
+++ b/src/maintenance/runner/index.ts
@@ -19,6 +19,12 @@
 /** The platform's list of machines is read only while a machine of a wave has no live worker. */
 const LIST_INTERVAL_MS: Millis = 2000
 
+/** Progress of one machine to commit. */
+interface MaintenanceMark {
+  readonly machine: string
+  readonly state: MaintenanceState
+}
+
 /** Runs the maintenance waves of one term. */
 export class MaintenanceRunner {
   readonly #context: TermContext
@@ -85,25 +91,20 @@
     for (const [machine, state] of wave.machines) {
       if (state === 'ordered') void this.#orderMaintenance(wave, machine)
     }
+    const drained: string[] = []
     for (const [machine, id] of this.#draining) {
       if (id !== wave.id || wave.machines.get(machine) !== 'waiting') continue
       const session = this.#sessionOf(machine)
-      if (session === undefined) {
-        this.#release(machine)
-        continue
-      }
-      if (this.#drainer.advance(session) && countMachinesDown(wave) < wave.cap) {
-        await this.#commitAndOrder(wave, machine)
-      }
+      if (session === undefined) this.#release(machine)
+      else if (this.#drainer.advance(session)) drained.push(machine)
     }
+    await this.#commitAndOrder(wave, drained)
     await this.#handleMissing(wave)
   }
 
   async #recordReturned (wave: MaintenanceWave): Promise<void> {
-    for (const [machine, state] of wave.machines) {
-      if (state !== 'begun' || this.#sessionOf(machine) === undefined) continue
-      await this.#mark(wave, machine, 'done')
-    }
+    const returned = [...wave.machines].filter(([machine, state]) => state === 'begun' && this.#sessionOf(machine) !== undefined)
+    await this.#mark(wave, returned.map(([machine]) => ({ machine, state: 'done' })))
   }
 
   /** Drains as many machines ahead as may be down at once, so that the next one is ready when one comes back. */
@@ -173,11 +174,11 @@
       accepted: async () => {
         this.#registry.markMachineGone(machine, 'maintenance of its machine has begun')
         this.#release(machine)
-        await this.#mark(wave, machine, 'begun')
+        await this.#mark(wave, [{ machine, state: 'begun' }])
       },
       fenced: () => { this.#fenced.add(machine) },
-      unknownMachine: () => this.#mark(wave, machine, 'gone'),
-      wrongWave: () => this.#mark(wave, machine, 'gone'),
+      unknownMachine: () => this.#mark(wave, [{ machine, state: 'gone' }]),
+      wrongWave: () => this.#mark(wave, [{ machine, state: 'gone' }]),
       busy: () => {},
       throttled: () => {},
       unavailable: () => {}
@@ -194,13 +195,17 @@
     if (missing.length === 0) return
     const list = await this.#refreshList()
     if (list === null) return
+    const marks: MaintenanceMark[] = []
+    const poweredOff: string[] = []
     for (const [machine, state] of missing) {
       const status = list.get(machine)
-      if (state === 'begun') {
-        if (status === undefined || (status.worker === '' && status.state === 'up')) await this.#mark(wave, machine, 'done')
-      } else if (status === undefined) await this.#mark(wave, machine, 'gone')
-      else if (status.worker === '' && status.state === 'up' && countMachinesDown(wave) < wave.cap) await this.#commitAndOrder(wave, machine)
+      const isPoweredOff = status?.worker === '' && status.state === 'up'
+      if (state === 'begun' && (status === undefined || isPoweredOff)) marks.push({ machine, state: 'done' })
+      else if (status === undefined) marks.push({ machine, state: 'gone' })
+      else if (state !== 'begun' && isPoweredOff) poweredOff.push(machine)
     }
+    await this.#mark(wave, marks)
+    await this.#commitAndOrder(wave, poweredOff)
   }
 
   #release (machine: string): void {
@@ -208,9 +213,11 @@
     this.#drainer.end(machine)
   }
 
-  async #commitAndOrder (wave: MaintenanceWave, machine: string): Promise<void> {
-    await this.#mark(wave, machine, 'ordered')
-    void this.#orderMaintenance(wave, machine)
+  /** Orders the maintenance of as many of the machines as may go down now, once that is committed. */
+  async #commitAndOrder (wave: MaintenanceWave, machines: readonly string[]): Promise<void> {
+    const ordered = machines.slice(0, Math.max(0, wave.cap - countMachinesDown(wave)))
+    await this.#mark(wave, ordered.map((machine) => ({ machine, state: 'ordered' })))
+    for (const machine of ordered) void this.#orderMaintenance(wave, machine)
   }
 
   async #refreshList (): Promise<ReadonlyMap<string, MachineStatus> | null> {
@@ -237,8 +244,8 @@
     return undefined
   }
 
-  async #mark (wave: MaintenanceWave, machine: string, state: MaintenanceState): Promise<void> {
-    await this.#context.propose('markUpkeep', { wave: wave.id, marks: [{ machine, state }] })
+  async #mark (wave: MaintenanceWave, marks: readonly MaintenanceMark[]): Promise<void> {
+    if (marks.length > 0) await this.#context.propose('markUpkeep', { wave: wave.id, marks })
   }
 }
 
--- a/src/maintenance/runner/test.ts
+++ b/src/maintenance/runner/test.ts
@@ -27,6 +27,8 @@
   readonly state = new BatchState()
   readonly orders: string[] = []
   mostDown = 0
+  /** Number of proposals by type. */
+  readonly proposals = new Map<string, number>()
   readonly #steps = new Map<string, readonly Step[]>()
   readonly #incarnations = new Map<string, SimWorker>()
   readonly #world: SimWorld
@@ -51,6 +53,7 @@
       mayOrder: () => !this.#end.signal.aborted,
       signal: this.#end.signal,
       propose: async (type, input) => {
+        this.proposals.set(type, (this.proposals.get(type) ?? 0) + 1)
         await this.clock.sleep(5)
         return this.apply({ type, at: this.clock.wall(), ...input } as unknown as BatchCommand)
       }
@@ -195,6 +198,17 @@
     expect(harness.state.data.jobs.get(JOB)?.occurrences.get(0)?.[0]?.tasks[0]).to.include({ isDone: true, lastRun: 1 })
   })
 
+  it('commits the orders and the returns of one cycle together', async () => {
+    const machines = Array.from({ length: 12 }, (_, i) => `m-w${i}`)
+    harness = new Harness(machines.length + 1)
+    await harness.advance(600)
+    harness.startWave(machines, machines.length)
+    await harness.advance(10_000)
+    expect(harness.isCompleted).to.equal(true)
+    // One commit for each machine whose maintenance has begun, and a few for all others.
+    expect(harness.proposals.get('markUpkeep')).to.be.within(machines.length, machines.length + 6)
+  })
+
   it('includes powered-off machines, and skips a machine that the platform no longer has', async () => {
     harness = new Harness(1, [{ machine: 'm-off', service: 'off', state: 'up', worker: '' }])
     await harness.advance(600)
