Reject malformed messages of members before they change anything

Cause: a vote or append request without a term, or with one that is no number, made a member take that as its term; no later term compares as higher then, so that it neither votes nor follows until it is restarted, and its next vote is stored without a term. Answers could do the same. Reported by operators of similar systems as a malformed message that takes a process down. Change: requests are checked as they arrive (checkMessage), terms in answers before they are adopted.

--- a/src/consensus/errors.ts
+++ b/src/consensus/errors.ts
@@ -25,3 +25,13 @@
 export class DataFolderError extends Error {
   override readonly name = 'DataFolderError'
 }
+
+/** Thrown when a message of another member can't be used; nothing has been changed. */
+export class MalformedMessageError extends Error {
+  override readonly name = 'MalformedMessageError'
+
+  /** @param place - the message and its first field that is missing or has another type */
+  constructor (place: string) {
+    super(`Malformed message: ${place}.`)
+  }
+}
--- a/src/consensus/replica/index.ts
+++ b/src/consensus/replica/index.ts
@@ -1,6 +1,7 @@
 /** A member of the replicated log: handles proposals, reads, membership changes and messages of peers. */
 import { setMaxListeners } from 'node:events'
 import { Notifier } from '../../clock/notifier/index.js'
+import { checkAppendRequest, checkSnapshotChunk, checkVoteRequest } from '../checkMessage/index.js'
 import { Election } from '../election/index.js'
 import { MembershipError, NotLeaderError } from '../errors.js'
 import { Leadership } from '../leadership/index.js'
@@ -204,16 +205,21 @@
   }
 
   /** Handles a vote or pre-vote request of a candidate. */
-  onVote (req: VoteRequest): Promise<VoteResponse> { return this.#election.answer(req) }
+  async onVote (req: VoteRequest): Promise<VoteResponse> {
+    checkVoteRequest(req)
+    return await this.#election.answer(req)
+  }
 
   /** Handles entries or a heartbeat from a leader. */
-  onAppend (req: AppendRequest): Promise<AppendResponse> {
-    return this.#leaderMessageHandler.append(req)
+  async onAppend (req: AppendRequest): Promise<AppendResponse> {
+    checkAppendRequest(req)
+    return await this.#leaderMessageHandler.append(req)
   }
 
   /** Handles a snapshot chunk from a leader. */
-  onSnapshot (req: SnapshotChunk): Promise<SnapshotResponse> {
-    return this.#leaderMessageHandler.snapshot(req)
+  async onSnapshot (req: SnapshotChunk): Promise<SnapshotResponse> {
+    checkSnapshotChunk(req)
+    return await this.#leaderMessageHandler.snapshot(req)
   }
 
   #propose (kind: EntryKind, data: unknown): Promise<unknown> {
--- a/src/consensus/replica/state.ts
+++ b/src/consensus/replica/state.ts
@@ -1,5 +1,6 @@
 /** State of a member: log, term, vote and role. */
 import type { Clock, Millis } from '../../clock/index.js'
+import { checkTerm } from '../checkMessage/index.js'
 import { ReplicatedLog } from '../log/index.js'
 import type { LogEntry, Member, RecoveredState, ReplicaRole, Store, StoreRecord } from '../types.js'
 
@@ -72,6 +73,7 @@
    * @param term - term of a received message
    */
   async adoptTerm (term: number): Promise<void> {
+    checkTerm(term)
     if (term <= this.term) return
     this.term = term
     this.votedFor = null
