Return the message from its check

Change: the checks return what they have checked; no behaviour changes. Lint, types and the test of malformed messages pass.

--- a/src/consensus/replica/index.ts
+++ b/src/consensus/replica/index.ts
@@ -205,21 +205,16 @@
   }
 
   /** Handles a vote or pre-vote request of a candidate. */
-  async onVote (req: VoteRequest): Promise<VoteResponse> {
-    checkVoteRequest(req)
-    return await this.#election.answer(req)
-  }
+  async onVote (req: VoteRequest): Promise<VoteResponse> { return await this.#election.answer(checkVoteRequest(req)) }
 
   /** Handles entries or a heartbeat from a leader. */
   async onAppend (req: AppendRequest): Promise<AppendResponse> {
-    checkAppendRequest(req)
-    return await this.#leaderMessageHandler.append(req)
+    return await this.#leaderMessageHandler.append(checkAppendRequest(req))
   }
 
   /** Handles a snapshot chunk from a leader. */
   async onSnapshot (req: SnapshotChunk): Promise<SnapshotResponse> {
-    checkSnapshotChunk(req)
-    return await this.#leaderMessageHandler.snapshot(req)
+    return await this.#leaderMessageHandler.snapshot(checkSnapshotChunk(req))
   }
 
   #propose (kind: EntryKind, data: unknown): Promise<unknown> {
