--- a/src/batch/scheduler/test.ts
+++ b/src/batch/scheduler/test.ts
@@ -24,11 +24,20 @@
   #ended: EndedRun[] = []
   #lastSeq = 0
   #wake: () => void = () => {}
+  /** Whether calls get no answer until they time out, while the runs go on. */
+  isSilent = false
+  startCount = 0
 
   constructor (clock: ManualClock) {
     this.#clock = clock
   }
 
+  async #answerInTime (timeoutMs: number): Promise<void> {
+    if (!this.isSilent) return
+    await this.#clock.sleep(timeoutMs)
+    throw new Error('the call was not answered within its timeout')
+  }
+
   endRun (task: string): void {
     const run = this.running.get(task) as number
     this.running.delete(task)
@@ -36,14 +45,17 @@
     this.#wake()
   }
 
-  async poll ({ acknowledgedSeq, waitMs }: { readonly acknowledgedSeq: number, readonly waitMs: number }) {
+  async poll ({ acknowledgedSeq, waitMs }: { readonly acknowledgedSeq: number, readonly waitMs: number }, timeoutMs: number) {
+    await this.#answerInTime(timeoutMs)
     this.#ended = this.#ended.filter(({ seq }) => seq > acknowledgedSeq)
     if (this.#ended.length === 0) await Promise.race([this.#clock.sleep(waitMs), new Promise<void>((resolve) => { this.#wake = resolve })])
     const running = [...this.running].map(([task, run]) => ({ task, run, checkpoint: '', percent: 10, load: null }))
     return { refusal: null, clockMs: this.#clock.now(), born: 1, running, ended: this.#ended } as const
   }
 
-  async start ({ task, run }: { readonly task: string, readonly run: number }) {
+  async start ({ task, run }: { readonly task: string, readonly run: number }, timeoutMs: number) {
+    await this.#answerInTime(timeoutMs)
+    this.startCount += 1
     this.running.set(task, run)
     return { refusal: null, clockMs: this.#clock.now() }
   }
@@ -152,4 +164,34 @@
     expect(cordonChecks).to.deep.equal([])
     stop()
   })
+
+  it('leaves the runs of a worker that is silent for less than its lease where they are', async () => {
+    const { clock, state, workers, submit, stop } = createHarness(2)
+    await clock.advance(200)
+    submit(RUNNING_JOB, { steps: [createStep({ count: 4 })] })
+    await clock.advance(200)
+    const busy = [...workers.values()].find(({ running }) => running.size > 0) as FakeWorker
+    const before = new Map(busy.running)
+    busy.isSilent = true
+    await clock.advance(1800)
+    busy.isSilent = false
+    await clock.advance(1000)
+    expect(busy.running).to.deep.equal(before)
+    expect(busy.stops).to.deep.equal([])
+    expect([...workers.values()].reduce((sum, { startCount }) => sum + startCount, 0)).to.equal(4)
+    expect(state.data.jobs.get(RUNNING_JOB)?.occurrences.get(0)?.[0]?.tasks.map(({ lastRun }) => lastRun)).to.deep.equal([1, 1, 1, 1])
+    stop()
+  })
+
+  it('gives no work to a worker of the state that has left and never answers a new leader', async () => {
+    const { clock, workers, submit, stop } = createHarness(2)
+    const departed = workers.get('booth-0') as FakeWorker
+    departed.isSilent = true
+    submit(RUNNING_JOB, { steps: [createStep({ count: 4 })] })
+    await clock.advance(20_000)
+    departed.isSilent = false
+    expect(departed.startCount).to.equal(0)
+    expect(workers.get('booth-1')?.startCount).to.equal(4)
+    stop()
+  })
 })
