Keep a connection when a call that waited for it has timed out

Cause: a call that timed out while all connections were busy was aborted when its turn came, and the client library closes the connection of an aborted call. Change: such a call is left out when its turn comes. Test: the test of a call that times out in the queue now asks for one connection; it saw two before.

--- a/src/links/http/index.ts
+++ b/src/links/http/index.ts
@@ -102,8 +102,9 @@
   }
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
+    // Throwing leaves this request out; aborting it would also close the connection, which the next request can use.
+    if (this.#abortError !== null) throw this.#abortError
     this.#controller = controller
-    if (this.#abortError !== null) controller.abort(this.#abortError)
   }
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number): void {
--- a/src/links/timedPool/test.ts
+++ b/src/links/timedPool/test.ts
@@ -94,24 +94,33 @@
     slowPool.close()
   })
 
-  it('does not send a call later that timed out while it waited for a connection', async () => {
-    const slowPool = new TimedPool(ADDRESS, { ...LIMITS, connections: 1, lateAnswerMs: LONG_TIMEOUT_MS })
+  it('does not send a call later that timed out while it waited for a connection, and keeps that connection', async () => {
+    const narrowPool = new TimedPool(ADDRESS, { ...LIMITS, connections: 1, lateAnswerMs: LONG_TIMEOUT_MS })
     const paths: string[] = []
     const waiting: ServerResponse[] = []
+    let onArrival = (): void => {}
     answer = (req, res) => {
       paths.push(req.url ?? '')
-      if (req.url === '/slow') waiting.push(res)
+      if (req.url?.startsWith('/slow') === true) waiting.push(res)
       else res.end()
+      onArrival()
     }
-    const request = (path: string, timeoutMs: number) => slowPool.requestText({ path, method: 'POST', headers: {}, body: 'question' }, timeoutMs)
-    const slow = request('/slow', LONG_TIMEOUT_MS)
-    const err = await request('/queued', 60).catch((err: unknown) => err)
-    expect(err).to.be.instanceOf(CallTimeoutError).with.property('wasSent', false)
+    const nextArrival = () => new Promise<void>((resolve) => { onArrival = resolve })
+    const request = (path: string, timeoutMs: number) => narrowPool.requestText({ path, method: 'POST', headers: {}, body: 'question' }, timeoutMs)
+    const firstArrived = nextArrival()
+    const slow = [request('/slow1', LONG_TIMEOUT_MS), request('/slow2', LONG_TIMEOUT_MS)]
+    const queued = request('/queued', 100).catch((err: unknown) => err)
+    await firstArrived
+    const secondArrived = nextArrival()
     waiting[0]?.end()
-    await slow
+    await secondArrived
+    expect(await queued).to.be.instanceOf(CallTimeoutError).with.property('wasSent', false)
+    waiting[1]?.end()
+    await Promise.all(slow)
     await request('/last', LONG_TIMEOUT_MS)
-    expect(paths).to.deep.equal(['/slow', '/last'])
-    slowPool.close()
+    expect(paths).to.deep.equal(['/slow1', '/slow2', '/last'])
+    expect(connections.size).to.equal(1)
+    narrowPool.close()
   })
 
   it('tells whether a call that timed out had been sent or was still waiting for a connection', async () => {
