Replace connections only after a call that was sent, and keep both to each control process open

Cause: a call that timed out while it waited for a connection, with no answer in that time, made its pool replace all connections. Change: only a call that was sent and not answered counts against the connections. Two connections to a process instead of four, and the call that keeps them open uses both. Tests: a call in flight keeps its connection when another times out waiting for it (before: replaced); both connections are kept open.

--- a/src/links/leaderClient/index.ts
+++ b/src/links/leaderClient/index.ts
@@ -2,7 +2,7 @@
 import type { Clock, Millis } from '../../clock/index.js'
 import type { ControlAnswer, ControlRequest } from '../../batch/requests.js'
 import type { HoldLimits } from '../../callers/holdRequest/index.js'
-import { RemoteError, type MsgpackLinks } from '../msgpackLink/index.js'
+import { MAX_CONNECTIONS, RemoteError, type MsgpackLinks } from '../msgpackLink/index.js'
 import { CallTimeoutError } from '../timedPool/index.js'
 
 const ATTEMPT_TIMEOUT_MS: Millis = 900
@@ -141,12 +141,16 @@
   }
 
   /**
-   * Calls every control process, so that a connection to the next leader is open when the current one is lost.
+   * Uses every connection to every control process, so that all of them to the next leader are open when the current one is lost.
    *
    * @returns how many processes have answered
    */
   async keepConnectionsOpen (): Promise<number> {
-    const answers = await Promise.allSettled(this.#listMembers().map((address) => this.#links.to(address).call('hello', {}, KEEP_OPEN_TIMEOUT_MS)))
+    const answers = await Promise.allSettled(this.#listMembers().map(async (address) => {
+      const link = this.#links.to(address)
+      // Calls at the same time use a connection each.
+      await Promise.any(Array.from({ length: MAX_CONNECTIONS }, () => link.call('hello', {}, KEEP_OPEN_TIMEOUT_MS)))
+    }))
     return answers.filter(({ status }) => status === 'fulfilled').length
   }
 
--- a/src/links/leaderClient/test.ts
+++ b/src/links/leaderClient/test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import type { ControlAnswer } from '../../batch/requests.js'
 import { ManualClock } from '../../clock/index.js'
-import type { MsgpackLinks } from '../msgpackLink/index.js'
+import { MAX_CONNECTIONS, type MsgpackLinks } from '../msgpackLink/index.js'
 import { CallTimeoutError } from '../timedPool/index.js'
 import { LeaderClient } from './index.js'
 
@@ -118,10 +118,10 @@
     expect(links.calls.length).to.be.above(4)
   })
 
-  it('calls every control process to keep connections open', async () => {
+  it('calls every control process on each of its connections to keep them open', async () => {
     const { links, leaderClient } = createFixture({ a: accept, b: refuse })
     expect(await leaderClient.keepConnectionsOpen()).to.equal(1)
-    expect(links.calls).to.have.members(['a', 'b'])
+    for (const address of ['a', 'b']) expect(links.calls.filter((called) => called === address).length).to.equal(MAX_CONNECTIONS)
   })
 
   it('reports the outcome as unknown when no leader is found in time and a copy may have been carried out', async () => {
--- a/src/links/msgpackLink/index.ts
+++ b/src/links/msgpackLink/index.ts
@@ -6,8 +6,11 @@
 const CONNECT_TIMEOUT_MS = 600
 const IDLE_CONNECTION_MS = 15_000
 
-/** When all entries connect to a new leader at once, requests on further connections would only wait there. */
-const MAX_CONNECTIONS = 4
+/**
+ * A process accepts one connection in each turn of its event loop, so that connections which all entries open to a new leader at
+ * once wait there for seconds. Two are few enough to be kept open to every control process.
+ */
+export const MAX_CONNECTIONS = 2
 
 /** The longest that a saturated leader was seen to take for an answer, after the timeout of the call. */
 const LATE_ANSWER_MS = 2000
--- a/src/links/timedPool/index.ts
+++ b/src/links/timedPool/index.ts
@@ -22,7 +22,7 @@
   readonly lateAnswerMs?: Millis
 }
 
-/** Replaces its connections after a timeout during which the other side has answered no call at all. */
+/** Replaces its connections when a call that was sent has timed out and the other side has answered no call at all meanwhile. */
 export class TimedPool {
   readonly #address: string
   readonly #limits: TimedPoolLimits
@@ -57,9 +57,10 @@
       timeout = setTimeout(() => {
         const err = new CallTimeoutError(pending.wasSent())
         const isResponsive = this.#answerCount !== answersBefore
+        // A call that was still waiting tells nothing of the connections; those that keep it waiting have timeouts of their own.
+        if (!isResponsive && err.wasSent) this.#replacePool(pool)
         if (isResponsive && err.wasSent) timeout = setTimeout(() => { pending.abort(err) }, this.#limits.lateAnswerMs ?? 0)
         else pending.abort(err)
-        if (!isResponsive) this.#replacePool(pool)
         reject(err)
       }, timeoutMs)
     })
--- a/src/links/timedPool/test.ts
+++ b/src/links/timedPool/test.ts
@@ -123,6 +123,27 @@
     narrowPool.close()
   })
 
+  it('keeps a connection on which a call is still in flight when another one has timed out waiting for it', async () => {
+    const narrowPool = new TimedPool(ADDRESS, { ...LIMITS, connections: 1 })
+    let onArrival = (): void => {}
+    const arrived = new Promise<void>((resolve) => { onArrival = resolve })
+    let slowAnswer: ServerResponse | undefined
+    answer = (req, res) => {
+      if (req.url === '/slow') slowAnswer = res
+      else res.end()
+      onArrival()
+    }
+    const request = (path: string, timeoutMs: number) => narrowPool.requestText({ path, method: 'POST', headers: {}, body: 'question' }, timeoutMs)
+    const slow = request('/slow', LONG_TIMEOUT_MS)
+    await arrived
+    expect(await request('/queued', 60).catch((err: unknown) => err)).to.be.instanceOf(CallTimeoutError).with.property('wasSent', false)
+    slowAnswer?.end()
+    await slow
+    await request('/last', LONG_TIMEOUT_MS)
+    expect(connections.size).to.equal(1)
+    narrowPool.close()
+  })
+
   it('tells whether a call that timed out had been sent or was still waiting for a connection', async () => {
     const whenAllSent = new Promise<void>((resolve) => {
       let count = 0
