Keep four connections to each control process open

What made new connections harmful was that they were replaced and opened late, not their number. Change: four, all kept open.

--- a/src/links/msgpackLink/index.ts
+++ b/src/links/msgpackLink/index.ts
@@ -8,11 +8,12 @@
 
 /**
  * A process accepts one connection in each turn of its event loop, so that connections which all entries open to a new leader at
- * once wait there for seconds. Two are few enough to be kept open to every control process.
+ * once wait there for seconds. Four are few enough to be kept open to every control process, and enough for calls that wait for a
+ * commit at the same time.
  */
-export const MAX_CONNECTIONS = 2
+export const MAX_CONNECTIONS = 4
 
-/** The longest that a saturated leader was seen to take for an answer, after the timeout of the call. */
+/** A saturated leader still answers within this time after the timeout of the call; the connection can be used again then. */
 const LATE_ANSWER_MS = 2000
 
 const HTTP_OK = 200
