Carry the calls between processes on one connection each

Change: calls between processes are messages with ids on one TCP connection, and those of one turn of the event loop are written together. Malformed bytes close their connection only, and are logged. A rolling change from the HTTP calls is not possible: control processes and entries change together.

--- a/src/links/leaderClient/index.ts
+++ b/src/links/leaderClient/index.ts
@@ -2,7 +2,7 @@
 import type { Clock, Millis } from '../../clock/index.js'
 import type { ControlAnswer, ControlRequest } from '../../batch/requests.js'
 import type { HoldLimits } from '../../callers/holdRequest/index.js'
-import { MAX_CONNECTIONS, RemoteError, type MsgpackLinks } from '../msgpackLink/index.js'
+import { NotConnectedError, PING, type MsgpackLinks } from '../msgpackLink/index.js'
 import { CallTimeoutError } from '../timedPool/index.js'
 
 const ATTEMPT_TIMEOUT_MS: Millis = 900
@@ -15,9 +15,6 @@
 /** A process that did not answer is asked again after this time, or earlier when all the others did not answer either. */
 const UNRESPONSIVE_PAUSE_MS: Millis = 2000
 
-/** Error codes which guarantee that the other side has received nothing. */
-const NOT_SENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
-
 const HOLD_UNTIL_DEADLINE: HoldLimits = { rejectableMs: Number.POSITIVE_INFINITY, outcomeUnknownMs: Number.POSITIVE_INFINITY }
 
 /** Result of a request that no leader has answered in time. */
@@ -141,16 +138,12 @@
   }
 
   /**
-   * Uses every connection to every control process, so that all of them to the next leader are open when the current one is lost.
+   * Uses the connection to every control process, so that the one to the next leader is open when the current one is lost.
    *
    * @returns how many processes have answered
    */
   async keepConnectionsOpen (): Promise<number> {
-    const answers = await Promise.allSettled(this.#listMembers().map(async (address) => {
-      const link = this.#links.to(address)
-      // Calls at the same time use a connection each.
-      await Promise.any(Array.from({ length: MAX_CONNECTIONS }, () => link.call('hello', {}, KEEP_OPEN_TIMEOUT_MS)))
-    }))
+    const answers = await Promise.allSettled(this.#listMembers().map((address) => this.#links.to(address).call(PING, null, KEEP_OPEN_TIMEOUT_MS)))
     return answers.filter(({ status }) => status === 'fulfilled').length
   }
 
@@ -195,8 +188,5 @@
 }
 
 function wasNotSent (err: unknown): boolean {
-  if (err instanceof RemoteError) return false
-  if (err instanceof CallTimeoutError) return !err.wasSent
-  const code = (err as { code?: unknown }).code
-  return typeof code === 'string' && NOT_SENT_CODES.has(code)
+  return err instanceof NotConnectedError || (err instanceof CallTimeoutError && !err.wasSent)
 }
--- a/src/links/msgpackServer/index.ts
+++ b/src/links/msgpackServer/index.ts
@@ -1,31 +1,34 @@
 /** Answers calls of other processes of the group. The client is {@link MsgpackLink}. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { Packr } from 'msgpackr/pack'
+import { createServer, type Server, type Socket } from 'node:net'
 import { splitAddress } from '../../settings/parsers.js'
+import { FrameError, type CallMessage } from '../frames/index.js'
+import { MessageSocket } from '../messageSocket/index.js'
+import { PING } from '../msgpackLink/index.js'
 
-/** A chunk of a snapshot or a full batch of log entries stays below this size. */
-const MAX_BODY_BYTES = 32 * 1024 * 1024
-
-/** Longer than the idle time of the links, so that the client closes an idle connection first. */
-const KEEP_ALIVE_TIMEOUT_MS = 30_000
+/** Longer than the interval at which entries use the connections to all control processes. */
+const IDLE_TIMEOUT_MS = 60_000
 
 /** Large enough for all entries, which connect to a new leader within milliseconds. */
 const ACCEPT_BACKLOG = 1024
 
-const BASE_PATH = '/group/'
-
-const packr = new Packr({ useRecords: false, moreTypes: true })
-
 /** Handlers by name of the call. A handler receives the decoded input; its result or error goes back to the caller. */
 export type MsgpackHandlers = Readonly<Record<string, ((input: never) => Promise<unknown> | unknown) | undefined>>
 
 /** Serves calls on an address of the internal network. */
 export class MsgpackServer {
   readonly #server: Server
+  readonly #handlers: MsgpackHandlers
+  readonly #sockets = new Set<Socket>()
+  readonly #onMalformed: (err: Error) => void
 
-  /** @param handlers - handlers by name */
-  constructor (handlers: MsgpackHandlers) {
-    this.#server = createServer({ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS }, (req, res) => { void this.#answer(handlers, req, res) })
+  /**
+   * @param handlers - handlers by name
+   * @param onMalformed - called when a connection is closed because its bytes can't be read as calls
+   */
+  constructor (handlers: MsgpackHandlers, onMalformed: (err: Error) => void = () => {}) {
+    this.#handlers = handlers
+    this.#onMalformed = onMalformed
+    this.#server = createServer((socket) => { this.#serve(socket) })
   }
 
   /**
@@ -43,38 +46,40 @@
   /** Stops listening and closes all connections. */
   close (): void {
     this.#server.close()
-    this.#server.closeAllConnections()
+    for (const socket of this.#sockets) socket.destroy()
+  }
+
+  #serve (socket: Socket): void {
+    this.#sockets.add(socket)
+    const messages = new MessageSocket(socket, {
+      onMessage: (message) => {
+        const call = checkCall(message)
+        void this.#answer(call, messages)
+      },
+      onClose: (err) => {
+        this.#sockets.delete(socket)
+        if (err instanceof FrameError) this.#onMalformed(err)
+      }
+    })
+    socket.setTimeout(IDLE_TIMEOUT_MS, () => { messages.close() })
   }
 
-  async #answer (handlers: MsgpackHandlers, req: IncomingMessage, res: ServerResponse): Promise<void> {
+  async #answer ([id, name, input]: CallMessage, messages: MessageSocket): Promise<void> {
     try {
-      const name = (req.url ?? '').slice(BASE_PATH.length)
-      const handler = Object.hasOwn(handlers, name) ? handlers[name] : undefined
-      if (handler === undefined) {
-        send(res, 404, Buffer.from(`Unknown call: "${name}".`))
+      if (name === PING) {
+        messages.send([id, null])
         return
       }
-      const input = packr.unpack(await readBody(req)) as never
-      send(res, 200, packr.pack(await handler(input)))
+      const handler = Object.hasOwn(this.#handlers, name) ? this.#handlers[name] : undefined
+      if (handler === undefined) throw new Error(`Unknown call: "${name}".`)
+      messages.send([id, await handler(input as never)])
     } catch (err) {
-      send(res, 500, Buffer.from((err as Error).message))
+      messages.send([id, null, (err as Error).message])
     }
   }
 }
 
-async function readBody (req: IncomingMessage): Promise<Buffer> {
-  const chunks: Buffer[] = []
-  let bytes = 0
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    bytes += chunk.length
-    if (bytes > MAX_BODY_BYTES) throw new Error(`Body too large: expected at most ${MAX_BODY_BYTES} bytes.`)
-    chunks.push(chunk)
-  }
-  return chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks)
-}
-
-function send (res: ServerResponse, status: number, body: Buffer): void {
-  if (res.destroyed || res.headersSent) return
-  res.writeHead(status, { 'content-length': body.length })
-  res.end(body)
+function checkCall (message: unknown): CallMessage {
+  if (!Array.isArray(message) || message.length !== 3 || !Number.isSafeInteger(message[0]) || typeof message[1] !== 'string') throw new FrameError('Malformed call: expected a number, a name and an input.')
+  return message as unknown as CallMessage
 }
