Let the other control processes make the leader's calls to workers

A relay keeps no state but connections; it makes calls only for the leader of the term that it follows, has heard recently and without a suspension since, so a paused or deposed one makes none. The leader spreads the workers over the relays, moves those of a lost, failing or overloaded one, and calls directly what was certainly not made. Calls delayed in a relay are refused by workers as delayed packets are: by token, run number or lease.

--- a/src/batch/explainBatch/index.ts
+++ b/src/batch/explainBatch/index.ts
@@ -14,6 +14,8 @@
 export interface BatchExplainContext {
   readonly state: BatchState
   readonly sessions: readonly WorkerSession[]
+  /** Returns the address of the process through which a worker is called, or null when the leader calls it itself. */
+  readonly relayOf: (worker: string) => string | null
   /** Wall-clock time in milliseconds. */
   readonly wall: Millis
 }
@@ -105,6 +107,7 @@
     const phase = session.goneReason !== null ? `gone: ${session.goneReason}` : session.isLive ? 'responsive' : `unresponsive for ${Math.round(session.unresponsiveMs)} ms`
     return [
       `Worker ${session.key} on machine ${record.machine}, service ${record.service}, availability zone ${record.zone}, is ${phase}${record.isDraining ? ', and draining' : ''}.`,
+      context.relayOf(session.key) === null ? 'The leader calls it directly.' : `The leader calls it through ${context.relayOf(session.key)}.`,
       `It has ${runs.size} runs${session.consecutiveRefusals > 0 ? `, and refused the last ${session.consecutiveRefusals} starts` : ''}.`,
       ...[...runs].slice(0, MAX_LISTED).map(([task, { run }]) => `Run ${run} of ${task}: ${describeRun(context, session.key, task)}.`)
     ]
--- a/src/batch/explainBatch/test.ts
+++ b/src/batch/explainBatch/test.ts
@@ -11,7 +11,7 @@
   state.apply(1, { type: 'configure', at: 1000, config: createConfig(7, [createQueue()]) })
   state.apply(2, { type: 'enrol', at: 1000, workers: [createWorker('w')] })
   state.apply(3, { type: 'accept', at: 1000, jobs: [createJob(ID, { steps: [createStep({ count: 3 }), createStep({ after: [0] })] })] })
-  return { state, sessions: sessions as readonly WorkerSession[], wall: 3500 }
+  return { state, sessions: sessions as readonly WorkerSession[], relayOf: () => null, wall: 3500 }
 }
 
 function createSession (changes: Partial<WorkerSession> = {}): Partial<WorkerSession> {
--- a/src/batch/fuzz/test.ts
+++ b/src/batch/fuzz/test.ts
@@ -4,17 +4,22 @@
 import { EventLog } from '../../logs/eventLog/index.js'
 import { Metrics } from '../../metrics/index.js'
 import { WorkerRegistry } from '../../workers/registry/index.js'
+import type { WorkerAddress } from '../../workers/relay/types.js'
+import { RelayedWorkerCalls } from '../../workers/relayedCalls/index.js'
+import { RelayRouter } from '../../workers/relayRouter/index.js'
 import type { TermContext } from '../leader/context.js'
 import { createConfig, createJob, createQueue, createStep, createWorker } from '../fixtures/index.js'
 import { RunStats } from '../runStats/index.js'
 import { BatchScheduler } from '../scheduler/index.js'
 import { BatchState } from '../state/index.js'
 import type { BatchCommand } from '../state/records.js'
-import type { Step } from '../types.js'
+import { workerKey, type Step } from '../types.js'
 import { Random } from './random.js'
+import { SimRelays } from './simRelays.js'
 import { createStepLookup, SimWorker, type SimWorld } from './simFleet.js'
 
 const WORKERS = 4
+const RELAYS = 3
 const CPU_CAPACITY = 4000
 const FAULT_PHASE_MS = 12_000
 const RECOVERY_PHASE_MS = 60_000
@@ -34,6 +39,7 @@
   readonly #random: Random
   readonly #steps = new Map<string, Step[]>()
   readonly #incarnations: SimWorker[] = []
+  readonly #relays: SimRelays
   #term = 0
   #index = 0
   #termEnd: AbortController | null = null
@@ -43,6 +49,7 @@
   constructor (seed: number) {
     this.#random = new Random(seed)
     this.world = { clock: this.clock, random: this.#random, violations: [], getStep: createStepLookup(this.#steps), runningOn: new Map(), finishedTasks: new Set(), faults: NO_FAULTS }
+    this.#relays = new SimRelays(this.clock, this.#random, (worker) => this.#connect(worker), RELAYS)
     this.#apply({ type: 'configure', at: this.clock.wall(), config: createConfig(1, [createQueue({ maxAttempts: 50 })]) })
     for (let i = 0; i < WORKERS; i++) this.#startIncarnation(i)
   }
@@ -70,7 +77,11 @@
       }
     }
     const workNotifier = new Notifier(this.clock)
-    const registry = new WorkerRegistry(context, (record) => this.#incarnations.findLast((incarnation) => incarnation.born === record.born) as SimWorker, () => { workNotifier.notify() })
+    const { term } = context
+    this.#relays.announceTerm(term)
+    const router = new RelayRouter(this.clock, log, () => this.#relays.listMembers(term))
+    const deps = { links: this.#relays.links, router, connect: (worker: WorkerAddress) => this.#connect(worker), mayOrder: context.mayOrder, metrics: context.metrics }
+    const registry = new WorkerRegistry(context, (record) => new RelayedWorkerCalls(workerKey(record), record, deps), () => { workNotifier.notify() })
     const scheduler = new BatchScheduler(context, registry, new RunStats(), { isCordoned: () => false, getAllowedWorkers: () => null, getTicket: () => null }, workNotifier)
     this.#termEnd = end
     this.#registry = registry
@@ -88,6 +99,7 @@
       await this.clock.advance(STEP_MS)
     }
     this.world.faults = NO_FAULTS
+    this.#relays.recover()
     for (const incarnation of this.#incarnations) incarnation.isPartitioned = false
     for (let at = 0; at < RECOVERY_PHASE_MS && this.state.activeJobs.size > 0; at += STEP_MS) {
       await this.#reportAll()
@@ -103,9 +115,15 @@
     if (random.next() < 0.02) this.#cancel()
     if (random.next() < 0.02) this.#startIncarnation(random.nextInt(WORKERS))
     if (random.next() < 0.03) for (const incarnation of this.#incarnations.slice(-1)) incarnation.isPartitioned = !incarnation.isPartitioned
+    if (random.next() < 0.08) this.#relays.injectFault()
     void this.#reportAll()
   }
 
+  /** Connects to the incarnation that a worker's address names. */
+  #connect ({ address }: WorkerAddress): SimWorker {
+    return this.#incarnations.find(({ born }) => address === formatAddress(born)) as SimWorker
+  }
+
   #submit (): void {
     const id = (this.#steps.size + 1).toString(16).padStart(16, '0')
     const first = createStep({ count: 1 + this.#random.nextInt(5), cpu: 500 + this.#random.nextInt(2000), estimateMs: 100 + this.#random.nextInt(900), maxPerWorker: this.#random.nextInt(3) })
@@ -136,7 +154,7 @@
     for (let i = 0; i < WORKERS; i++) {
       const incarnation = this.#findLatest(i)
       if (incarnation === undefined || incarnation.isPartitioned || registry === null) continue
-      const { isDraining: _, ...record } = createWorker(`w${i}`, { born: incarnation.born, room: { cpu: CPU_CAPACITY, memory: 100_000, accelerators: 0 } })
+      const { isDraining: _, ...record } = createWorker(`w${i}`, { born: incarnation.born, address: formatAddress(incarnation.born), room: { cpu: CPU_CAPACITY, memory: 100_000, accelerators: 0 } })
       void registry.report({ ...record, state: 'ready', drainLeftMs: null, sequence: this.clock.now() }).catch(() => {})
     }
     await Promise.resolve()
@@ -147,7 +165,11 @@
   }
 }
 
-describe('fuzz: failing leaders, workers and calls', () => {
+function formatAddress (born: number): string {
+  return `incarnation-${born}:80`
+}
+
+describe('fuzz: failing leaders, relays, workers and calls', () => {
   for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed++) {
     it(`runs each task once at a time and completes every job, seed ${seed}`, async () => {
       const simulation = new Simulation(seed)
--- a/src/batch/leader/index.ts
+++ b/src/batch/leader/index.ts
@@ -10,7 +10,11 @@
 import { PoolMover } from '../../pools/mover/index.js'
 import { MachineDrainer } from '../../maintenance/machineDrainer/index.js'
 import { MaintenanceRunner } from '../../maintenance/runner/index.js'
-import { WorkerRegistry, type ConnectWorker } from '../../workers/registry/index.js'
+import type { MsgpackLinks } from '../../links/msgpackLink/index.js'
+import { WorkerRegistry } from '../../workers/registry/index.js'
+import type { ConnectWorkerAddress } from '../../workers/relay/index.js'
+import { RelayedWorkerCalls } from '../../workers/relayedCalls/index.js'
+import { RelayRouter, type RelayMember } from '../../workers/relayRouter/index.js'
 import { Advisor, type AdvisorCalls } from '../advisor/index.js'
 import { LeaderRequestHandler } from '../requestHandler/index.js'
 import { FillerPacer } from '../fillerPacer/index.js'
@@ -19,7 +23,7 @@
 import { RunStats } from '../runStats/index.js'
 import { BatchScheduler } from '../scheduler/index.js'
 import type { BatchState } from '../state/index.js'
-import type { Queue } from '../types.js'
+import { workerKey, type Queue } from '../types.js'
 import type { ProposeBatch, TermContext } from './context.js'
 
 /** Ended jobs are kept this much longer than the retention that submitters rely on. */
@@ -36,7 +40,10 @@
   readonly state: BatchState
   readonly lease: LeaderLease
   readonly id: string
-  readonly connect: ConnectWorker
+  /** Links to the other control processes, which make the calls to workers. */
+  readonly links: MsgpackLinks
+  /** Creates a client that calls a worker from this process. */
+  readonly connect: ConnectWorkerAddress
   readonly machines: MachineCalls
   readonly advisor: AdvisorCalls | null
   /** How long ended jobs stay visible to submitters, in milliseconds. */
@@ -67,7 +74,9 @@
       return replica.propose({ type, at: clock.wall(), ...input })
     }
     const context: TermContext = { clock, log, metrics, state, term: this.term, holder: deps.id, propose, mayOrder: () => this.mayOrder(), signal: this.#abortController.signal }
-    this.#registry = new WorkerRegistry(context, deps.connect, onWork)
+    const router = new RelayRouter(clock, log, () => listOtherMembers(replica))
+    const relayedCallsDeps = { links: deps.links, router, connect: deps.connect, mayOrder: () => this.mayOrder(), metrics }
+    this.#registry = new WorkerRegistry(context, (worker) => new RelayedWorkerCalls(workerKey(worker), worker, relayedCallsDeps), onWork)
     this.#advisor = deps.advisor === null ? null : new Advisor(deps.advisor, clock, log, onWork)
     const drainer = new MachineDrainer(context, this.#registry, (worker) => this.#scheduler.hasPendingPlacementOn(worker))
     const maintenance = new MaintenanceRunner(context, this.#registry, deps.machines, drainer)
@@ -80,6 +89,7 @@
     this.#requestHandler = new LeaderRequestHandler(context, this.#registry, {
       onWork,
       onJob: (id) => { this.#scheduler.observeJob(id) },
+      relayOf: (worker) => router.routeOf(worker),
       members: () => replica.status().members.map(({ address }) => address)
     })
     const pacer = new FillerPacer(context, this.#registry)
@@ -142,6 +152,11 @@
   }
 }
 
+function listOtherMembers (replica: Replica): RelayMember[] {
+  const { instance, members } = replica.status()
+  return members.filter((member) => member.instance !== instance).map(({ address, confirmedAt }) => ({ address, confirmedAt: confirmedAt ?? Number.NEGATIVE_INFINITY }))
+}
+
 function parseWorkerId (worker: string): string {
   return worker.slice(0, worker.lastIndexOf('@'))
 }
--- a/src/batch/requestHandler/index.ts
+++ b/src/batch/requestHandler/index.ts
@@ -26,6 +26,8 @@
   readonly onWork: () => void
   /** Called with the id of each newly accepted job. */
   readonly onJob: (id: string) => void
+  /** Returns the address of the process through which a worker is called, or null when the leader calls it itself. */
+  readonly relayOf: (worker: string) => string | null
   /** Returns the addresses of the group's members. */
   readonly members: () => readonly string[]
 }
@@ -68,7 +70,7 @@
         const wave = this.#context.state.data.waves.get(id)
         return wave === undefined ? { kind: 'noWave' } : { kind: 'wave', isCompleted: wave.isCompleted }
       },
-      explain: ({ what, name }) => ({ kind: 'explained', lines: explainBatch({ state: this.#context.state, sessions: [...this.#registry.sessions], wall: this.#context.clock.wall() }, what, name) }),
+      explain: ({ what, name }) => ({ kind: 'explained', lines: explainBatch({ state: this.#context.state, sessions: [...this.#registry.sessions], relayOf: this.#listener.relayOf, wall: this.#context.clock.wall() }, what, name) }),
       ping: () => ({ kind: 'pong', members: this.#listener.members() })
     }
   }
--- a/src/control/member/index.ts
+++ b/src/control/member/index.ts
@@ -1,5 +1,6 @@
 /** A control process that serves jobs: takes part in the group, and runs a term while it leads. */
 import type { Clock } from '../../clock/index.js'
+import { SuspensionDetector } from '../../clock/suspensionDetector/index.js'
 import { NotLeaderError } from '../../consensus/errors.js'
 import type { Replica } from '../../consensus/replica/index.js'
 import type { AppendRequest, Member, SnapshotChunk, VoteRequest } from '../../consensus/types.js'
@@ -11,12 +12,15 @@
 import type { EventLog } from '../../logs/eventLog/index.js'
 import type { MsgpackHandlers } from '../../links/msgpackServer/index.js'
 import type { MsgpackLinks } from '../../links/msgpackLink/index.js'
+import type { RelayRequest } from '../../workers/relay/types.js'
+import type { WorkerRelay } from '../../workers/relay/index.js'
+import { RELAY_CALL } from '../../workers/relayedCalls/index.js'
 
 const JOIN_TIMEOUT_MS = 1000
 const SUCCESSION_TIMEOUT_MS = 500
 const LEADERSHIP_CHECK_INTERVAL_MS = 500
 
-/** Maximum age of the last leader contact for a follower to acknowledge reports that change nothing: three heartbeats. */
+/** Maximum age of the last leader contact for a follower to act on it: three heartbeats. */
 const MAX_LEADER_CONTACT_AGE_MS = 480
 
 /** Dependencies of {@link ControlMember}. */
@@ -31,6 +35,12 @@
   readonly isKnownReport: (report: WorkerReport) => boolean
   /** Called with the leader's address, or null while there is none, and the members' addresses, whenever the leader changes. */
   readonly onLeader: (leader: string | null, members: readonly string[]) => void
+  /**
+   * Creates the relay of this member.
+   *
+   * @param mayRelay - returns whether calls for the leader of a term may be made now
+   */
+  readonly createRelay: (mayRelay: (term: number) => boolean) => WorkerRelay
   /** Begins a term as leader; called once this member is a ready leader. */
   readonly beginTerm: () => BatchLeader
 }
@@ -39,6 +49,8 @@
 export class ControlMember {
   readonly #deps: ControlMemberDeps
   readonly #stop = new AbortController()
+  readonly #suspensionDetector: SuspensionDetector
+  readonly #relay: WorkerRelay
   #leader: BatchLeader | null = null
   /** Whether the log has been recovered. Before, term and vote are unknown, so that no call may be answered. */
   #isRecovered = false
@@ -46,6 +58,8 @@
   /** @param deps - dependencies of the member */
   constructor (deps: ControlMemberDeps) {
     this.#deps = deps
+    this.#suspensionDetector = new SuspensionDetector(deps.clock)
+    this.#relay = deps.createRelay((term) => this.#mayRelay(term))
   }
 
   /** Recovers the log and starts the loops of the member. */
@@ -73,6 +87,7 @@
       })
     }
     await replica.stop()
+    this.#relay.close()
   }
 
   /** Handlers of the calls that other processes may make. */
@@ -88,7 +103,8 @@
       },
       hello: () => bootstrapper.hello(),
       join: (req: Omit<Member, 'role'> & { readonly isForwarded?: boolean }) => this.#onJoin(req),
-      ask: (req: ControlRequest) => this.answer(req)
+      ask: (req: ControlRequest) => this.answer(req),
+      [RELAY_CALL]: (req: RelayRequest) => this.#relay.make(req)
     }
     return Object.fromEntries(Object.entries(calls).map(([name, handler]) => [name, (input: never) => {
       if (!this.#isRecovered) throw new Error('the log is still being recovered')
@@ -117,7 +133,13 @@
   /** Whether the last contact with a leader is recent, so that the local state lags behind the leader's only slightly. */
   #isInContactWithLeader (): boolean {
     const { clock, replica } = this.#deps
-    return replica.leader !== null && clock.now() - replica.lastLeaderContactAt < MAX_LEADER_CONTACT_AGE_MS
+    const contactAt = replica.lastLeaderContactAt
+    return replica.leader !== null && this.#suspensionDetector.isContinuousSince(contactAt) && clock.now() - contactAt < MAX_LEADER_CONTACT_AGE_MS
+  }
+
+  /** Whether calls to workers may be made for the leader of a term. A process that stops leaves them to others. */
+  #mayRelay (term: number): boolean {
+    return this.#leader === null && !this.#stop.signal.aborted && this.#deps.replica.term === term && this.#isInContactWithLeader()
   }
 
   #redirect (): ControlAnswer {
--- a/src/control/member/test.ts
+++ b/src/control/member/test.ts
@@ -6,27 +6,42 @@
 
 const MEMBERS = [{ id: 'a', instance: 'a', address: 'a:1' }, { id: 'b', instance: 'b', address: 'b:1' }]
 
+/** Clock of a machine that can be suspended, which the monotonic clock does not count. */
+class SuspendableClock extends ManualClock {
+  suspendedMs = 0
+
+  override wall (): number {
+    return super.wall() + this.suspendedMs
+  }
+}
+
 /** A member whose log names the leader that the test sets. */
 function createHarness () {
-  const clock = new ManualClock()
+  const clock = new SuspendableClock()
   const changed = new Notifier(clock)
   const learned: Array<string | null> = []
   const replica = {
     leader: null as { readonly address: string } | null,
     isReadyLeader: false,
     term: 1,
+    lastLeaderContactAt: clock.now(),
     changed,
     start: () => Promise.resolve(0),
     status: () => ({ lastIndex: 0, members: MEMBERS })
   }
+  const relay = { mayRelay: (_term: number): boolean => false }
+  const createRelay = (mayRelay: (term: number) => boolean) => {
+    relay.mayRelay = mayRelay
+    return { close: () => {} }
+  }
   const loop = { run: () => Promise.resolve() }
-  const deps = { clock, replica, log: new EventLog('test', clock, { writableLength: 0, write: () => {} }), bootstrapper: loop, membershipManager: loop, onLeader: (leader: string | null) => { learned.push(leader) } }
+  const deps = { clock, replica, log: new EventLog('test', clock, { writableLength: 0, write: () => {} }), bootstrapper: loop, membershipManager: loop, createRelay, onLeader: (leader: string | null) => { learned.push(leader) } }
   const setLeader = async (address: string | null): Promise<void> => {
     replica.leader = address === null ? null : { address }
     changed.notify()
     await clock.advance(1)
   }
-  return { member: new ControlMember(deps as unknown as ControlMemberDeps), learned, setLeader }
+  return { clock, replica, relay, member: new ControlMember(deps as unknown as ControlMemberDeps), learned, setLeader }
 }
 
 describe('ControlMember', () => {
@@ -39,4 +54,31 @@
     await setLeader('b:1')
     expect(learned).to.deep.equal(['a:1', null, 'b:1'])
   })
+
+  it('relays calls only for the leader that it follows, and only while it hears from it', async () => {
+    const { clock, replica, relay, member, setLeader } = createHarness()
+    await member.start()
+    expect(relay.mayRelay(1), 'no leader').to.equal(false)
+    await setLeader('a:1')
+    expect(relay.mayRelay(1)).to.equal(true)
+    expect(relay.mayRelay(2), 'a leader that it does not know yet').to.equal(false)
+    replica.term = 2
+    expect(relay.mayRelay(1), 'an earlier leader').to.equal(false)
+    await clock.advance(600)
+    expect(relay.mayRelay(2), 'not heard for a while').to.equal(false)
+    replica.lastLeaderContactAt = clock.now()
+    expect(relay.mayRelay(2)).to.equal(true)
+  })
+
+  it('relays no call after its machine was suspended until the leader is heard again', async () => {
+    const { clock, replica, relay, member, setLeader } = createHarness()
+    await member.start()
+    await setLeader('a:1')
+    expect(relay.mayRelay(1)).to.equal(true)
+    clock.suspendedMs += 3000
+    expect(relay.mayRelay(1)).to.equal(false)
+    await clock.advance(10)
+    replica.lastLeaderContactAt = clock.now()
+    expect(relay.mayRelay(1)).to.equal(true)
+  })
 })
--- a/src/links/leaderClient/index.ts
+++ b/src/links/leaderClient/index.ts
@@ -2,8 +2,7 @@
 import type { Clock, Millis } from '../../clock/index.js'
 import type { ControlAnswer, ControlRequest } from '../../batch/requests.js'
 import type { HoldLimits } from '../../callers/holdRequest/index.js'
-import { NotConnectedError, PING, type MsgpackLinks } from '../msgpackLink/index.js'
-import { CallTimeoutError } from '../timedPool/index.js'
+import { isCertainlyNotSent, PING, type MsgpackLinks } from '../msgpackLink/index.js'
 
 const ATTEMPT_TIMEOUT_MS: Millis = 900
 
@@ -117,7 +116,7 @@
         }
       } catch (err) {
         reason = (err as Error).message
-        if (!wasNotSent(err)) isCertainlyNotDone = false
+        if (!isCertainlyNotSent(err)) isCertainlyNotDone = false
         if (!(err instanceof LeaderChangedError)) this.#failedAt.set(target, this.#clock.now())
         if (this.#leader === target) this.#setLeader(null)
         if (attempt > 0) await this.#clock.sleep(Math.min(RETRY_PAUSE_MS, Math.max(0, deadline - this.#clock.now())))
@@ -186,7 +185,3 @@
     return candidates[this.#nextMemberIndex] ?? null
   }
 }
-
-function wasNotSent (err: unknown): boolean {
-  return err instanceof NotConnectedError || (err instanceof CallTimeoutError && !err.wasSent)
-}
--- a/src/links/msgpackLink/index.ts
+++ b/src/links/msgpackLink/index.ts
@@ -38,6 +38,15 @@
   override readonly name = 'ConnectionLostError'
 }
 
+/**
+ * Returns whether an error of a call guarantees that nothing of it was sent.
+ *
+ * @param err - what the call has thrown
+ */
+export function isCertainlyNotSent (err: unknown): boolean {
+  return err instanceof NotConnectedError || (err instanceof CallTimeoutError && !err.wasSent)
+}
+
 interface PendingCall {
   readonly name: string
   readonly input: unknown
--- /dev/null
+++ b/src/workers/relay/test.ts
@@ -0,0 +1,66 @@
+import { expect } from 'chai'
+import { ManualClock } from '../../clock/index.js'
+import type { WorkerCalls } from '../types.js'
+import { WorkerRelay } from './index.js'
+import type { RelayRequest } from './types.js'
+
+const WORKER = { id: 'w', address: 'w:1' }
+const STOP: RelayRequest<'stop'> = { worker: WORKER, call: 'stop', req: { token: 3, task: 't', run: 1 }, timeoutMs: 700 }
+
+function createHarness () {
+  const clock = new ManualClock()
+  const calls: string[] = []
+  const connected: string[] = []
+  const closed: string[] = []
+  const state = { term: 3, isWorkerSilent: false }
+  const connect = ({ address }: typeof WORKER): WorkerCalls => {
+    connected.push(address)
+    return {
+      stop: ({ task, run }: { readonly task: string, readonly run: number }) => {
+        calls.push(`${address} stop ${task} ${run}`)
+        return state.isWorkerSilent ? Promise.reject(new Error('no answer')) : Promise.resolve({ refusal: null, clockMs: 5 })
+      },
+      close: () => { closed.push(address) }
+    } as unknown as WorkerCalls
+  }
+  return { clock, calls, connected, closed, state, relay: new WorkerRelay(clock, connect, (term) => term === state.term) }
+}
+
+describe('WorkerRelay', () => {
+  it('makes a call for the leader and returns the answer', async () => {
+    const { relay, calls } = createHarness()
+    expect(await relay.make(STOP)).to.deep.equal({ kind: 'answered', answer: { refusal: null, clockMs: 5 } })
+    expect(calls).to.deep.equal(['w:1 stop t 1'])
+  })
+
+  it('makes no call for a leader that it does not follow, and says so', async () => {
+    const { relay, calls, state } = createHarness()
+    state.term = 4
+    expect(await relay.make(STOP)).to.include({ kind: 'refused' })
+    expect(calls).to.deep.equal([])
+  })
+
+  it('says that the outcome is unknown when the worker does not answer', async () => {
+    const { relay, state } = createHarness()
+    state.isWorkerSilent = true
+    expect(await relay.make(STOP)).to.deep.equal({ kind: 'unclear', reason: 'no answer' })
+  })
+
+  it('refuses a call that it does not know', async () => {
+    const { relay, calls } = createHarness()
+    expect(await relay.make({ ...STOP, call: 'toString' } as unknown as RelayRequest)).to.include({ kind: 'refused' })
+    expect(calls).to.deep.equal([])
+  })
+
+  it('keeps the connections to a worker while it is called, and closes those of others', async () => {
+    const { clock, relay, connected, closed } = createHarness()
+    await relay.make({ ...STOP, worker: { id: 'v', address: 'v:1' } })
+    for (let i = 0; i < 30; i++) {
+      await relay.make(STOP)
+      await clock.advance(1000)
+    }
+    expect(connected).to.deep.equal(['v:1', 'w:1'])
+    expect(closed).to.deep.equal(['v:1'])
+    expect(relay.workerCount).to.equal(1)
+  })
+})
--- /dev/null
+++ b/src/workers/relayedCalls/index.ts
@@ -0,0 +1,101 @@
+/** Calls one worker through another control process, or directly while no other process can make the call. */
+import type { Millis } from '../../clock/index.js'
+import { isCertainlyNotSent, type MsgpackLinks } from '../../links/msgpackLink/index.js'
+import type { Metrics } from '../../metrics/index.js'
+import { WORKER_CALLS, type ConnectWorkerAddress } from '../relay/index.js'
+import type { RelayAnswer, WorkerAddress, WorkerCallName, WorkerCallTypes } from '../relay/types.js'
+import type { RelayRouter } from '../relayRouter/index.js'
+import type { OrderAnswer, PaceRequest, StartRequest, StopRequest, WorkerCalls, WorkerPollAnswer, WorkerPollRequest } from '../types.js'
+
+/** Time for the way to the relay and back, in addition to the timeout of the call that it makes. */
+const RELAY_MARGIN_MS: Millis = 150
+
+/** Name of the call between processes. */
+export const RELAY_CALL = 'relay'
+
+/** Dependencies of {@link RelayedWorkerCalls}. */
+export interface RelayedCallsDeps {
+  readonly links: MsgpackLinks
+  readonly router: RelayRouter
+  readonly connect: ConnectWorkerAddress
+  /** Returns whether orders may still be sent. It is asked again before a refused call is made directly. */
+  readonly mayOrder: () => boolean
+  readonly metrics: Metrics
+}
+
+/** Client of one incarnation of a worker. */
+export class RelayedWorkerCalls implements WorkerCalls {
+  readonly #worker: WorkerAddress
+  readonly #key: string
+  readonly #deps: RelayedCallsDeps
+  #direct: WorkerCalls | null = null
+  #isClosed = false
+
+  /**
+   * @param key - key of the worker's incarnation
+   * @param worker - the worker
+   * @param deps - what the calls need
+   */
+  constructor (key: string, { id, address }: WorkerAddress, deps: RelayedCallsDeps) {
+    this.#key = key
+    this.#worker = { id, address }
+    this.#deps = deps
+  }
+
+  poll (req: WorkerPollRequest, timeoutMs: Millis): Promise<WorkerPollAnswer> {
+    return this.#call('poll', req, timeoutMs)
+  }
+
+  start (req: StartRequest, timeoutMs: Millis): Promise<OrderAnswer> {
+    return this.#call('start', req, timeoutMs)
+  }
+
+  stop (req: StopRequest, timeoutMs: Millis): Promise<OrderAnswer> {
+    return this.#call('stop', req, timeoutMs)
+  }
+
+  pace (req: PaceRequest, timeoutMs: Millis): Promise<OrderAnswer> {
+    return this.#call('pace', req, timeoutMs)
+  }
+
+  close (): void {
+    this.#isClosed = true
+    this.#deps.router.forget(this.#key)
+    this.#direct?.close()
+  }
+
+  async #call<K extends WorkerCallName> (call: K, req: WorkerCallTypes[K]['req'], timeoutMs: Millis): Promise<WorkerCallTypes[K]['answer']> {
+    const relay = this.#isClosed ? null : this.#deps.router.route(this.#key)
+    const relayed = relay === null ? null : await this.#relay(relay, call, req, timeoutMs)
+    if (relayed === null) return await this.#callDirectly(call, req, timeoutMs)
+    return relayed
+  }
+
+  /** Makes a call through a relay. Resolves to null when the call was certainly not made. */
+  async #relay<K extends WorkerCallName> (relay: string, call: K, req: WorkerCallTypes[K]['req'], timeoutMs: Millis): Promise<WorkerCallTypes[K]['answer'] | null> {
+    const { links, router, metrics } = this.#deps
+    metrics.count('oleanderward_relayed_calls', { relay })
+    let outcome: RelayAnswer<K>
+    try {
+      outcome = await router.track(relay, links.to(relay).call<RelayAnswer<K>>(RELAY_CALL, { worker: this.#worker, call, req, timeoutMs }, timeoutMs + RELAY_MARGIN_MS))
+    } catch (err) {
+      router.avoid(relay, (err as Error).message)
+      if (isCertainlyNotSent(err)) return null
+      throw err
+    }
+    if (outcome.kind === 'answered') return outcome.answer
+    if (outcome.kind === 'refused') {
+      router.avoid(relay, outcome.reason)
+      return null
+    }
+    // Another process may reach a worker that this relay can't reach.
+    router.avoidFor(this.#key, relay)
+    throw new Error(outcome.reason)
+  }
+
+  async #callDirectly<K extends WorkerCallName> (call: K, req: WorkerCallTypes[K]['req'], timeoutMs: Millis): Promise<WorkerCallTypes[K]['answer']> {
+    if (this.#isClosed || !this.#deps.mayOrder()) throw new Error('the call may no longer be made')
+    this.#direct ??= this.#deps.connect(this.#worker)
+    return await WORKER_CALLS[call](this.#direct, req, timeoutMs)
+  }
+}
--- /dev/null
+++ b/src/workers/relayedCalls/test.ts
@@ -0,0 +1,76 @@
+import { expect } from 'chai'
+import { ManualClock } from '../../clock/index.js'
+import { ConnectionLostError, NotConnectedError, type MsgpackLinks } from '../../links/msgpackLink/index.js'
+import { EventLog } from '../../logs/eventLog/index.js'
+import { Metrics } from '../../metrics/index.js'
+import type { RelayAnswer } from '../relay/types.js'
+import { RelayRouter } from '../relayRouter/index.js'
+import type { OrderAnswer, WorkerCalls } from '../types.js'
+import { RelayedWorkerCalls } from './index.js'
+
+const WORKER = { id: 'w', address: 'w:1' }
+const STOP = { token: 3, task: 't', run: 1 }
+const TIMEOUT_MS = 700
+const DONE: OrderAnswer = { refusal: null, clockMs: 5 }
+
+type Reply = () => Promise<RelayAnswer<'stop'>>
+
+/** A client whose relays reply as the test sets. */
+function createHarness () {
+  const clock = new ManualClock()
+  const made: string[] = []
+  const state = { mayOrder: true, reply: (() => Promise.resolve({ kind: 'answered', answer: DONE })) as Reply }
+  const links = { to: (address: string) => ({ call: () => { made.push(address); return state.reply() } }) } as unknown as MsgpackLinks
+  const router = new RelayRouter(clock, new EventLog('test', clock, { writableLength: 0, write: () => {} }), () => ['a', 'b'].map((address) => ({ address, confirmedAt: clock.now() })))
+  const connect = (): WorkerCalls => ({ stop: () => { made.push('direct'); return Promise.resolve(DONE) }, close: () => {} }) as unknown as WorkerCalls
+  const calls = new RelayedWorkerCalls('w@1', WORKER, { links, router, connect, mayOrder: () => state.mayOrder, metrics: new Metrics() })
+  const stop = () => calls.stop(STOP, TIMEOUT_MS).catch((err: unknown) => err)
+  return { state, made, calls, stop }
+}
+
+describe('RelayedWorkerCalls', () => {
+  it('calls the worker through a relay', async () => {
+    const { made, stop } = createHarness()
+    expect(await stop()).to.deep.equal(DONE)
+    expect(made).to.deep.equal(['a'])
+  })
+
+  it('calls the worker directly when the relay has certainly not made the call', async () => {
+    for (const reply of [() => Promise.reject(new NotConnectedError('refused')), () => Promise.resolve({ kind: 'refused', reason: 'another term' })] as Reply[]) {
+      const { state, made, stop } = createHarness()
+      state.reply = reply
+      expect(await stop()).to.deep.equal(DONE)
+      expect(made).to.deep.equal(['a', 'direct'])
+    }
+  })
+
+  it('does not call the worker directly when orders may no longer be sent', async () => {
+    const { state, made, stop } = createHarness()
+    state.reply = () => {
+      state.mayOrder = false
+      return Promise.resolve({ kind: 'refused', reason: 'another term' })
+    }
+    expect(await stop()).to.be.instanceOf(Error)
+    expect(made).to.deep.equal(['a'])
+  })
+
+  it('does not repeat a call whose relay was lost or whose worker was silent, and makes the next one through another relay', async () => {
+    for (const reply of [() => Promise.reject(new ConnectionLostError('reset')), () => Promise.resolve({ kind: 'unclear', reason: 'no answer' })] as Reply[]) {
+      const { state, made, stop } = createHarness()
+      const { reply: answered } = state
+      state.reply = reply
+      expect(await stop()).to.be.instanceOf(Error)
+      expect(made).to.deep.equal(['a'])
+      state.reply = answered
+      expect(await stop()).to.deep.equal(DONE)
+      expect(made).to.deep.equal(['a', 'b'])
+    }
+  })
+
+  it('makes no call once it is closed', async () => {
+    const { made, calls, stop } = createHarness()
+    calls.close()
+    expect(await stop()).to.be.instanceOf(Error)
+    expect(made).to.deep.equal([])
+  })
+})
--- a/src/workers/types.ts
+++ b/src/workers/types.ts
@@ -56,12 +56,24 @@
   readonly ticket: string | null
 }
 
+/** Order to stop a run. */
+export interface StopRequest {
+  readonly token: number
+  readonly task: string
+  readonly run: number
+}
+
+/** Order that sets the share of the spare processor time, in percent, that a filler task may use. */
+export interface PaceRequest extends StopRequest {
+  readonly percent: number
+}
+
 /** Client of one incarnation of a worker. Every call rejects when its outcome is unknown. */
 export interface WorkerCalls {
   poll (req: WorkerPollRequest, timeoutMs: Millis): Promise<WorkerPollAnswer>
   start (req: StartRequest, timeoutMs: Millis): Promise<OrderAnswer>
-  stop (req: { readonly token: number, readonly task: string, readonly run: number }, timeoutMs: Millis): Promise<OrderAnswer>
-  pace (req: { readonly token: number, readonly task: string, readonly run: number, readonly percent: number }, timeoutMs: Millis): Promise<OrderAnswer>
+  stop (req: StopRequest, timeoutMs: Millis): Promise<OrderAnswer>
+  pace (req: PaceRequest, timeoutMs: Millis): Promise<OrderAnswer>
   /** Closes all connections. */
   close (): void
 }
