--- a/src/batch/requestHandler/index.ts
+++ b/src/batch/requestHandler/index.ts
@@ -79,12 +79,12 @@
    * Answers a request.
    *
    * @param req - the request
-   * @returns the answer; while the leader lease is not confirmed, `redirect` for a request that was not executed and `unclear` otherwise
+   * @returns the answer; `unclear` when the leader lease is not confirmed
    */
   async answer (req: ControlRequest): Promise<ControlAnswer> {
     this.#context.metrics.count('oleanderward_leader_requests', { kind: req.kind })
     const handler = this.#handlers[req.kind] as (req: ControlRequest) => Promise<ControlAnswer> | ControlAnswer
-    if (!this.#context.mayOrder()) return { kind: 'redirect', leader: null, members: this.#listener.members() }
+    if (!this.#context.mayOrder()) return { kind: 'unclear', reason: LEASE_NOT_CONFIRMED }
     const answer = await handler(req)
     // Reads must not be stale: the lease is checked again after the handler, in case leadership was lost meanwhile.
     return this.#context.mayOrder() || answer.kind === 'accepted' ? answer : { kind: 'unclear', reason: LEASE_NOT_CONFIRMED }
--- a/src/pools/planMoves/index.ts
+++ b/src/pools/planMoves/index.ts
@@ -33,9 +33,8 @@
   /** Drains the machine, which then moves to a pool that is short or is powered off. */
   | { readonly kind: 'drain', readonly machine: string, readonly from: string }
 
-/** Limit per pool: the runs of draining machines must find capacity on the others. Large pools follow demand as fast as small ones. */
-const MIN_DRAINING_LIMIT = 4
-const MAX_DRAINING_SHARE = 0.15
+/** Limit per pool: the runs of draining machines must find capacity on the others. */
+const MAX_DRAINING = 4
 
 /**
  * Plans moves between pools.
@@ -71,8 +70,7 @@
     const poweringOff = machines.splice(0, Math.max(0, Math.min(sustainedSurplus, machines.length)))
     decisions.push(...poweringOff.map((machine): MoveDecision => ({ kind: 'move', machine, to: standby as string })))
     const drainCount = Math.max(Math.min(surplusLeft, unmet), sustainedSurplus - pool.draining) - poweringOff.length
-    const drainingLimit = Math.max(MIN_DRAINING_LIMIT, Math.floor(pool.have * MAX_DRAINING_SHARE))
-    const toDrain = pool.busy.slice(0, Math.max(0, Math.min(drainCount, drainingLimit - pool.draining)))
+    const toDrain = pool.busy.slice(0, Math.max(0, Math.min(drainCount, MAX_DRAINING - pool.draining)))
     unmet -= toDrain.length
     decisions.push(...toDrain.map((machine): MoveDecision => ({ kind: 'drain', machine, from: pool.service })))
   }
