--- a/src/links/messageSocket/index.ts
+++ b/src/links/messageSocket/index.ts
@@ -72,7 +72,7 @@
     try {
       this.#socket.write(encodeFrame(messages))
     } catch (err) {
-      this.#socket.destroy(err as Error)
+      this.#socket.destroy(err instanceof FrameError ? err : new FrameError(`a message can't be encoded: ${(err as Error).message}`))
       return
     }
     if (this.#socket.writableLength > MAX_BUFFERED_BYTES) this.#socket.destroy(new FrameError('the other side does not read'))
