Plan a surge without looking at each worker for each waiting task

PoolMover searched all sessions for each machine that was moving, each 120 ms.

Change: what has fitted on no worker is remembered within a plan, and tasks that need as much are left out; decisions are the same (property test against one group at a time). The mover indexes the sessions once a cycle.

--- a/src/batch/planStarts/index.ts
+++ b/src/batch/planStarts/index.ts
@@ -68,16 +68,56 @@
 export function planStarts (workers: readonly PoolWorker[], groups: Iterable<StartGroup>): PlannedStart[] {
   const starts: PlannedStart[] = []
   const reserved = new Set<PoolWorker>()
+  const unplaceable = new UnplaceableDemands()
+  let available = workers.filter(({ startsLeft }) => startsLeft > 0)
   for (const group of groups) {
-    const available = workers.filter((worker) => worker.startsLeft > 0 && !reserved.has(worker))
     if (available.length === 0) break
+    const mayReserve = group.mayReserve && group.members.length === 1 && reserved.size < MAX_RESERVATIONS
+    if (!mayReserve && unplaceable.includes(group)) continue
     const placed = placeGroup(available, group.members)
-    if (placed !== null) starts.push(...placed)
-    else if (group.mayReserve && group.members.length === 1 && reserved.size < MAX_RESERVATIONS) reserveWorker(available, group.members[0] as StartableTask, reserved)
+    if (placed !== null) {
+      starts.push(...placed)
+      if (available.some(({ startsLeft }) => startsLeft <= 0)) available = available.filter(({ startsLeft }) => startsLeft > 0)
+      continue
+    }
+    unplaceable.add(group)
+    if (!mayReserve) continue
+    reserveWorker(available, group.members[0] as StartableTask, reserved)
+    available = available.filter((worker) => !reserved.has(worker))
   }
   return starts
 }
 
+/**
+ * Remembers what has fitted on no worker. Free capacity only shrinks while starts are planned, so that a task that needs as much fits
+ * nowhere either, and in a surge most of the waiting tasks are left out without a look at a worker.
+ */
+class UnplaceableDemands {
+  readonly #demands: Resources[] = []
+
+  /** @param group - a group that was not placed; remembered only if nothing but its size can be the reason */
+  add ({ members: [member, ...others] }: StartGroup): void {
+    if (member === undefined || others.length > 0) return
+    const { step, allowed } = member
+    if (step.label !== '' || step.maxPerWorker > 0 || allowed !== null) return
+    const demand = getDemand(step)
+    if (!this.#isAtLeastOne(demand)) this.#demands.push(demand)
+  }
+
+  /** @param group - a group; whether one of its members needs as much as a task that was not placed */
+  includes ({ members }: StartGroup): boolean {
+    return this.#demands.length > 0 && members.some(({ step }) => this.#isAtLeastOne(getDemand(step)))
+  }
+
+  #isAtLeastOne ({ cpu, memory, accelerators }: Resources): boolean {
+    return this.#demands.some((demand) => cpu >= demand.cpu && memory >= demand.memory && accelerators >= demand.accelerators)
+  }
+}
+
+function getDemand ({ cpu, memory, accelerators, isFiller }: Step): Resources {
+  return { cpu: isFiller ? 0 : cpu, memory, accelerators }
+}
+
 function placeGroup (workers: readonly PoolWorker[], members: readonly StartableTask[]): PlannedStart[] | null {
   const starts: PlannedStart[] = []
   const assignments: Array<{ readonly worker: PoolWorker, readonly member: StartableTask }> = []
--- a/src/batch/planStarts/test.ts
+++ b/src/batch/planStarts/test.ts
@@ -1,7 +1,8 @@
 import { expect } from 'chai'
+import fc from 'fast-check'
 import { createStep } from '../fixtures/index.js'
 import type { Step } from '../types.js'
-import { planStarts, type PoolWorker, type StartGroup } from './index.js'
+import { planStarts, type PlannedStart, type PoolWorker, type StartGroup } from './index.js'
 
 function createPoolWorker (key: string, changes: Partial<PoolWorker> = {}): PoolWorker {
   const room = { cpu: 4000, memory: 8000, accelerators: 0 }
@@ -76,4 +77,46 @@
     const group: StartGroup = { mayReserve: true, members: [{ task: 's', stepKey: 's', step: createStep(), failedOn: [], allowed: new Set(['x']) }] }
     expect(planStarts([createPoolWorker('w'), createPoolWorker('x')], [group])).to.deep.equal([{ task: 's', worker: 'x' }])
   })
+
+  it('looks at a full worker a few times only, however many tasks wait', () => {
+    let looks = 0
+    const workers = Array.from({ length: 200 }, (_, i) => {
+      const worker = createPoolWorker(`w${i}`)
+      const free = { cpu: 500, memory: 8000, accelerators: 0 }
+      return Object.defineProperty(worker, 'free', { get: () => { looks += 1; return free } })
+    })
+    expect(planStarts(workers, Array.from({ length: 3000 }, (_, i) => createGroup(`s${i % 40}#${i}`, { cpu: 1000 + i % 3 })))).to.deep.equal([])
+    expect(looks).to.be.below(20 * workers.length)
+  })
+
+  it('plans the same starts as one group at a time', () => {
+    const stepArbitrary = fc.record({ cpu: fc.constantFrom(500, 1000, 2500, 5000), memory: fc.constantFrom(100, 3000), isFiller: fc.boolean(), label: fc.constantFrom('', '', 'r1', 'r2'), maxPerWorker: fc.constantFrom(0, 0, 1), size: fc.constantFrom(1, 1, 1, 3) })
+    const workerArbitrary = fc.record({ label: fc.constantFrom('r1', 'r2'), cpu: fc.integer({ min: 0, max: 4000 }), startsLeft: fc.constantFrom(1, 2, Number.POSITIVE_INFINITY) })
+    fc.assert(fc.property(fc.array(stepArbitrary, { maxLength: 30 }), fc.array(workerArbitrary, { maxLength: 6 }), (steps, workerShapes) => {
+      const createWorkers = () => workerShapes.map(({ label, cpu, startsLeft }, i) => createPoolWorker(`w${i}`, { labels: ['a', label], free: { cpu, memory: 8000, accelerators: 0 }, startsLeft }))
+      const groups = steps.map(({ size, ...step }, i): StartGroup => ({
+        members: Array.from({ length: size }, (_, member) => createGroup(`s${i}#${member}`, { ...step, isGang: size > 1 }).members).flat(),
+        mayReserve: size === 1
+      }))
+      expect(planStarts(createWorkers(), groups)).to.deep.equal(planOneByOne(createWorkers(), groups))
+    }), { numRuns: 500 })
+  })
 })
+
+/** Plans each group on its own, on the workers that are not reserved. */
+function planOneByOne (workers: readonly PoolWorker[], groups: readonly StartGroup[]): PlannedStart[] {
+  const starts: PlannedStart[] = []
+  const reserved = new Set<PoolWorker>()
+  for (const group of groups) {
+    const available = workers.filter((worker) => worker.startsLeft > 0 && !reserved.has(worker))
+    const placed = planStarts(available, [group])
+    starts.push(...placed)
+    const [member] = group.members
+    if (placed.length > 0 || member === undefined || !group.mayReserve || reserved.size === 2) continue
+    const { step, stepKey } = member
+    const eligible = available.filter(({ labels, room, taskCountByStep }) => (step.label === '' || labels.includes(step.label)) && (step.maxPerWorker === 0 || (taskCountByStep.get(stepKey) ?? 0) < step.maxPerWorker) && room.cpu >= step.cpu && room.memory >= step.memory)
+    const [mostFree] = eligible.sort((a, b) => b.free.cpu - a.free.cpu)
+    if (mostFree !== undefined) reserved.add(mostFree)
+  }
+  return starts
+}
--- a/src/pools/mover/index.ts
+++ b/src/pools/mover/index.ts
@@ -67,6 +67,9 @@
   readonly #refusedUntil = new Map<string, Millis>()
   /** Numbers of machines that each service needed within the last `MIN_SURPLUS_MS`, newest last. */
   readonly #needs = new Map<string, Array<{ readonly at: Millis, readonly need: number }>>()
+  /** Sessions with responsive workers by machine, and those that take work by service, as of this cycle. */
+  #sessionsByMachine: ReadonlyMap<string, WorkerSession> = new Map()
+  #sessionsByService: ReadonlyMap<string, WorkerSession[]> = new Map()
   #listedAt: Millis = Number.NEGATIVE_INFINITY
   #isListRequested = true
   #loggedAt: Millis = Number.NEGATIVE_INFINITY
@@ -97,6 +100,7 @@
       if (signal.aborted || !mayOrder() || this.#isFenced || this.#context.state.data.config === null) continue
       try {
         await this.#refreshList()
+        this.#indexSessions()
         this.#recordArrivals()
         this.#moveDrained()
         const pools = this.#describePools()
@@ -266,12 +270,28 @@
     return this.#sessionsOf(service).filter(({ record }) => !this.#draining.has(record.machine) && !this.#moving.has(record.machine) && !this.#source.isInMaintenance(record.machine)).length
   }
 
-  #sessionsOf (service: string): WorkerSession[] {
-    return [...this.#registry.sessions].filter((session) => session.record.service === service && session.isLive && !session.record.isDraining && session.record.machine !== '')
+  #indexSessions (): void {
+    const byMachine = new Map<string, WorkerSession>()
+    const byService = new Map<string, WorkerSession[]>()
+    for (const session of this.#registry.sessions) {
+      const { machine, service, isDraining } = session.record
+      if (machine === '' || byMachine.has(machine) || !session.isLive) continue
+      byMachine.set(machine, session)
+      if (isDraining) continue
+      const ofService = byService.get(service)
+      if (ofService === undefined) byService.set(service, [session])
+      else ofService.push(session)
+    }
+    this.#sessionsByMachine = byMachine
+    this.#sessionsByService = byService
+  }
+
+  #sessionsOf (service: string): readonly WorkerSession[] {
+    return this.#sessionsByService.get(service) ?? []
   }
 
   #sessionOf (machine: string): WorkerSession | undefined {
-    return [...this.#registry.sessions].find((session) => session.record.machine === machine && session.isLive)
+    return this.#sessionsByMachine.get(machine)
   }
 
   #listPoweredOff (): string[] {
