--- a/src/batch/fuzz/test.ts
+++ b/src/batch/fuzz/test.ts
@@ -81,7 +81,7 @@
     this.#relays.announceTerm(term)
     const router = new RelayRouter(this.clock, log, () => this.#relays.listMembers(term))
     const deps = { links: this.#relays.links, router, connect: (worker: WorkerAddress) => this.#connect(worker), mayOrder: context.mayOrder, metrics: context.metrics }
-    const registry = new WorkerRegistry(context, (record) => new RelayedWorkerCalls(workerKey(record), record, deps), () => { workNotifier.notify() })
+    const registry = new WorkerRegistry(context, { connect: (record) => new RelayedWorkerCalls(workerKey(record), record, deps), countCallers: () => router.countCallers() }, () => { workNotifier.notify() })
     const scheduler = new BatchScheduler(context, registry, new RunStats(), { isCordoned: () => false, getAllowedWorkers: () => null, getTicket: () => null }, workNotifier)
     this.#termEnd = end
     this.#registry = registry
--- a/src/batch/leader/index.ts
+++ b/src/batch/leader/index.ts
@@ -76,7 +76,10 @@
     const context: TermContext = { clock, log, metrics, state, term: this.term, holder: deps.id, propose, mayOrder: () => this.mayOrder(), signal: this.#abortController.signal }
     const router = new RelayRouter(clock, log, () => listOtherMembers(replica))
     const relayedCallsDeps = { links: deps.links, router, connect: deps.connect, mayOrder: () => this.mayOrder(), metrics }
-    this.#registry = new WorkerRegistry(context, (worker) => new RelayedWorkerCalls(workerKey(worker), worker, relayedCallsDeps), onWork)
+    this.#registry = new WorkerRegistry(context, {
+      connect: (worker) => new RelayedWorkerCalls(workerKey(worker), worker, relayedCallsDeps),
+      countCallers: () => router.countCallers()
+    }, onWork)
     this.#advisor = deps.advisor === null ? null : new Advisor(deps.advisor, clock, log, onWork)
     const drainer = new MachineDrainer(context, this.#registry, (worker) => this.#scheduler.hasPendingPlacementOn(worker))
     const maintenance = new MaintenanceRunner(context, this.#registry, deps.machines, drainer)
@@ -134,7 +137,7 @@
   #getAllowedWorkers (stepKey: string, queue: Queue | undefined, service: string): ReadonlySet<string> | null | undefined {
     const advice = queue?.advice ?? null
     if (advice === null || this.#advisor === null) return null
-    const live = [...this.#registry.sessions].filter((session) => session.record.service === service && session.isLive && !session.record.isDraining)
+    const live = [...this.#registry.sessionsOf(service)].filter((session) => session.isLive && !session.record.isDraining)
     const tickets = this.#advisor.getTickets({ stepKey, workerIds: live.map(({ record }) => record.id), decisionMs: advice.decisionMs, perWorkerMs: advice.perWorkerMs })
     if (tickets === undefined) return undefined
     return new Set(live.filter(({ record }) => tickets.has(record.id)).map(({ key }) => key))
--- a/src/batch/scheduler/index.ts
+++ b/src/batch/scheduler/index.ts
@@ -24,6 +24,9 @@
 /** Due occurrences and expired leases trigger no notification, so the loop also runs on a timer. */
 const MAX_CYCLE_INTERVAL_MS: Millis = 100
 
+/** Interval between looks at all workers for expired leases, which no notification announces. */
+const WORKER_CHECK_INTERVAL_MS: Millis = 50
+
 /** Restrictions on placement: cordoned workers and the decisions of the advisor. */
 export interface SchedulerPolicies {
   /** Returns whether a worker is cordoned because its machine is drained for maintenance or a move. */
@@ -45,6 +48,9 @@
   readonly #starvationDetector = new StarvationDetector()
   /** Workers with placements that are proposed but not yet committed. */
   #workersWithPendingPlacements: ReadonlySet<string> = new Set()
+  #workersCheckedAt: Millis = Number.NEGATIVE_INFINITY
+  /** Whether this cycle looks for expired leases and workers to dismiss. */
+  #isWorkerCheckDue = true
   #queues = new Map<string, Queue>()
   #config: QueueConfig | null = null
 
@@ -142,27 +148,35 @@
 
   /** Returns the capacity of a worker of the service, or of any worker when the service has none at the moment. */
   #findWorkerCapacity (service: string): Resources | undefined {
-    let fallback: Resources | undefined
-    for (const { record } of this.#registry.sessions) {
-      if (record.service === service) return record.room
-      fallback = record.room
-    }
-    return fallback
+    const { data, workerIndex } = this.#context.state
+    const [worker] = workerIndex.ofService(service).values()
+    const [fallback] = data.workers.values()
+    return (worker ?? fallback)?.room
   }
 
   async #runCycle (): Promise<void> {
+    this.#isWorkerCheckDue = this.#isTimeToCheckWorkers()
     await this.#recordRunEnds()
     if (this.#context.signal.aborted) return
     this.#stopUnneededRuns()
     await this.#startWaitingTasks()
-    await this.#dismissGoneWorkers()
+    if (this.#isWorkerCheckDue) await this.#dismissGoneWorkers()
+  }
+
+  #isTimeToCheckWorkers (): boolean {
+    const now = this.#context.clock.now()
+    if (!this.#registry.takeNewlyGone() && now - this.#workersCheckedAt < WORKER_CHECK_INTERVAL_MS) return false
+    this.#workersCheckedAt = now
+    return true
   }
 
   async #recordRunEnds (): Promise<void> {
-    const collected = [...this.#registry.sessions].map((session) => ({ session, ...session.takeRunEnds() }))
+    const collected = [...this.#registry.takeSessionsWithEnds()].map((session) => ({ session, ...session.takeRunEnds() }))
     const ends = collected.flatMap(({ ends }) => ends)
-    for (const session of this.#registry.sessions) if (session.isLeaseExpired) ends.push(...this.#listLostRuns(session))
-    ends.push(...this.#listOrphanedRuns())
+    if (this.#isWorkerCheckDue) {
+      for (const session of this.#registry.sessions) if (session.isLeaseExpired) ends.push(...this.#listLostRuns(session))
+      ends.push(...this.#listOrphanedRuns())
+    }
     if (ends.length > 0) {
       for (const end of ends) this.#observeRunEnd(end)
       await this.#context.propose('end', { ends })
@@ -293,9 +307,9 @@
   #listPoolWorkers (service: string): PoolWorker[] {
     const { clock, state } = this.#context
     const pool: PoolWorker[] = []
-    for (const session of this.#registry.sessions) {
+    for (const session of this.#registry.sessionsOf(service)) {
       const { record, key } = session
-      if (record.service !== service || record.isDraining || !session.isLive || this.#policies.isCordoned(session)) continue
+      if (record.isDraining || !session.isLive || this.#policies.isCordoned(session)) continue
       const runs = state.runsOn(key)
       const startsLeft = this.#stats.countAllowedStarts(key, clock.now(), runs.size)
       if (startsLeft === 0) continue
--- a/src/batch/scheduler/test.ts
+++ b/src/batch/scheduler/test.ts
@@ -97,11 +97,12 @@
     for (let i = 0; i < workersPerService; i++) apply({ type: 'enrol', at: clock.wall(), workers: [createWorker(`${service}-${i}`, { service })] })
   }
   const workNotifier = new Notifier(clock)
-  const registry = new WorkerRegistry(context, ({ id }) => {
+  const connect = ({ id }: { readonly id: string }): FakeWorker => {
     const worker = new FakeWorker(clock)
     workers.set(id, worker)
     return worker
-  }, () => { workNotifier.notify() })
+  }
+  const registry = new WorkerRegistry(context, { connect, countCallers: () => 1 }, () => { workNotifier.notify() })
   const scheduler = new BatchScheduler(context, registry, new RunStats(), {
     isCordoned: ({ record }) => {
       cordonChecks.push(record.service)
@@ -119,7 +120,7 @@
     apply({ type: 'cancel', at: clock.wall(), ids: [id] })
     workNotifier.notify()
   }
-  return { clock, state, workers, cordonChecks, submit, cancel, stop: () => { end.abort(); registry.end() } }
+  return { clock, state, workers, registry, cordonChecks, submit, cancel, stop: () => { end.abort(); registry.end() } }
 }
 
 describe('BatchScheduler', () => {
@@ -165,6 +166,25 @@
     stop()
   })
 
+  it('reads the run ends of those workers that have some, and no others', async () => {
+    const { clock, workers, registry, submit, stop } = createHarness(50)
+    submit(RUNNING_JOB, { steps: [createStep({ count: 1 })] })
+    await clock.advance(300)
+    const reads: string[] = []
+    for (const session of registry.sessions) {
+      const takeRunEnds = session.takeRunEnds.bind(session)
+      session.takeRunEnds = () => {
+        reads.push(session.key)
+        return takeRunEnds()
+      }
+    }
+    const [id, busy] = [...workers].find(([, { running }]) => running.size > 0) as [string, FakeWorker]
+    busy.endRun(`${RUNNING_JOB}.0.0.0`)
+    await clock.advance(300)
+    expect(reads).to.deep.equal([`${id}@1`])
+    stop()
+  })
+
   it('leaves the runs of a worker that is silent for less than its lease where they are', async () => {
     const { clock, state, workers, submit, stop } = createHarness(2)
     await clock.advance(200)
--- a/src/batch/state/handlers.ts
+++ b/src/batch/state/handlers.ts
@@ -1,6 +1,6 @@
 /** Command handlers of the replicated state. All handlers are deterministic. */
 import type { Millis } from '../../clock/index.js'
-import { formatTask, parseTask } from '../types.js'
+import { formatTask, parseTask, workerKey } from '../types.js'
 import type { ActiveRun, BatchCommandOf, BatchCommandType, BatchData, RunEnd, JobRecord, StepRecord, TaskRecord, MaintenanceState, WorkerRecord } from './records.js'
 
 /** Number of workers kept in {@link TaskRecord.failedOn}. */
@@ -15,6 +15,9 @@
   onJobEnded (job: JobRecord): void
   onRunAdded (worker: string, task: string, run: ActiveRun): void
   onRunEnded (task: string, run: ActiveRun): void
+  /** Called when a worker is added or its record replaced. */
+  onWorkerSet (key: string, record: WorkerRecord, previous: WorkerRecord | undefined): void
+  onWorkerRemoved (key: string, record: WorkerRecord): void
   /** Called when a task is done while other runs of it are still active. */
   onTaskDone (task: string, record: TaskRecord): void
 }
@@ -65,12 +68,20 @@
     return true
   }),
 
-  enrol: (data, { workers }) => {
-    for (const worker of workers) data.workers.set(formatWorkerKey(worker), worker)
+  enrol: (data, { workers }, observer) => {
+    for (const worker of workers) {
+      const key = workerKey(worker)
+      observer.onWorkerSet(key, worker, data.workers.get(key))
+      data.workers.set(key, worker)
+    }
   },
 
-  dismiss: (data, { workers }) => {
-    for (const key of workers) data.workers.delete(key)
+  dismiss: (data, { workers }, observer) => {
+    for (const key of workers) {
+      const record = data.workers.get(key)
+      if (record !== undefined) observer.onWorkerRemoved(key, record)
+      data.workers.delete(key)
+    }
   },
 
   startWave: (data, { wave, at }) => {
@@ -104,10 +115,6 @@
   }
 }
 
-function formatWorkerKey (worker: WorkerRecord): string {
-  return `${worker.id}@${worker.born}`
-}
-
 function hasActiveRun (job: JobRecord): boolean {
   for (const steps of job.occurrences.values()) {
     for (const step of steps) if (step.tasks.some((task) => task.active.length > 0)) return true
--- a/src/batch/state/index.ts
+++ b/src/batch/state/index.ts
@@ -4,6 +4,7 @@
 import { formatTask, parseTask } from '../types.js'
 import { BATCH_HANDLERS, type StateObserver } from './handlers.js'
 import type { ActiveRun, BatchCommand, BatchData, JobRecord, TaskRecord } from './records.js'
+import { WorkerIndex } from './workerIndex/index.js'
 
 /** Number of active jobs without any placement, by queue key. */
 type PendingCounts = Map<string, number>
@@ -14,6 +15,7 @@
   #activeJobs = new Map<string, JobRecord>()
   #pendingCounts: PendingCounts = new Map()
   #runsByWorker = new Map<string, Map<string, ActiveRun>>()
+  #workerIndex = new WorkerIndex()
   /** Runs that may be running although their task is done or their job has ended, with their task. */
   #unneededRuns = new Map<ActiveRun, string>()
   /** Updates the indexes with each change that a handler makes. */
@@ -38,7 +40,9 @@
       if (runs?.get(task)?.run === run.run) runs.delete(task)
       if (runs?.size === 0) this.#runsByWorker.delete(run.worker)
       this.#unneededRuns.delete(run)
-    }
+    },
+    onWorkerSet: (key, record, previous) => { this.#workerIndex.set(key, record, previous) },
+    onWorkerRemoved: (key, record) => { this.#workerIndex.delete(key, record) }
   }
 
   get data (): BatchData {
@@ -50,6 +54,11 @@
     return this.#activeJobs
   }
 
+  /** The workers by what identifies them. */
+  get workerIndex (): WorkerIndex {
+    return this.#workerIndex
+  }
+
   /**
    * Returns how many active jobs of a queue have not started, without repeating ones.
    *
@@ -109,6 +118,8 @@
     this.#pendingCounts = new Map()
     this.#runsByWorker = new Map()
     this.#unneededRuns = new Map()
+    this.#workerIndex = new WorkerIndex()
+    for (const [key, record] of this.#data.workers) this.#workerIndex.set(key, record, undefined)
     for (const job of this.#data.jobs.values()) this.#index(job)
   }
 
--- a/src/maintenance/machineDrainer/index.ts
+++ b/src/maintenance/machineDrainer/index.ts
@@ -131,7 +131,7 @@
 
   /** Whether all given tasks of a step fit on the workers that are not draining. */
   #canPlace (step: Step, tasks: readonly string[], service: string): boolean {
-    const availableSessions = [...this.#registry.sessions].filter((session) => session.record.service === service && session.isLive && !session.record.isDraining && !this.isCordoned(session))
+    const availableSessions = [...this.#registry.sessionsOf(service)].filter((session) => session.isLive && !session.record.isDraining && !this.isCordoned(session))
     const workers = availableSessions.map((session) => createPoolWorker(session, this.#context.state))
     const groups = tasks.map((task) => {
       const startable: StartableTask = { task, stepKey: task.slice(0, task.lastIndexOf('.')), step, failedOn: [], allowed: null }
--- a/src/maintenance/runner/index.ts
+++ b/src/maintenance/runner/index.ts
@@ -94,7 +94,7 @@
     const drained: string[] = []
     for (const [machine, id] of this.#draining) {
       if (id !== wave.id || wave.machines.get(machine) !== 'waiting') continue
-      const session = this.#sessionOf(machine)
+      const session = this.#registry.liveSessionOn(machine)
       if (session === undefined) this.#release(machine)
       else if (this.#drainer.advance(session)) drained.push(machine)
     }
@@ -103,7 +103,7 @@
   }
 
   async #recordReturned (wave: MaintenanceWave): Promise<void> {
-    const returned = [...wave.machines].filter(([machine, state]) => state === 'begun' && this.#sessionOf(machine) !== undefined)
+    const returned = [...wave.machines].filter(([machine, state]) => state === 'begun' && this.#registry.liveSessionOn(machine) !== undefined)
     await this.#mark(wave, returned.map(([machine]) => ({ machine, state: 'done' })))
   }
 
@@ -113,7 +113,7 @@
     let drainingCount = 0
     for (const [machine, id] of this.#draining) {
       if (wave.machines.get(machine) === 'waiting' && id === wave.id) drainingCount += 1
-      const service = this.#sessionOf(machine)?.record.service
+      const service = this.#registry.liveSessionOn(machine)?.record.service
       if (service !== undefined) unavailable.set(service, (unavailable.get(service) ?? 0) + 1)
     }
     while (drainingCount < wave.cap) {
@@ -131,7 +131,7 @@
     const waiting: WaitingMachine[] = []
     for (const [machine, state] of wave.machines) {
       if (state !== 'waiting' || this.#draining.has(machine)) continue
-      const session = this.#sessionOf(machine)
+      const session = this.#registry.liveSessionOn(machine)
       if (session === undefined || session.record.isDraining || this.#isLastAvailable(session)) continue
       waiting.push({ machine, service: session.record.service, runs: this.#context.state.runsOn(session.key).size })
     }
@@ -145,8 +145,8 @@
   #isLastAvailable (session: WorkerSession): boolean {
     const { service } = session.record
     let hasRuns = false
-    for (const other of this.#registry.sessions) {
-      if (other.record.service !== service || !other.isLive) continue
+    for (const other of this.#registry.sessionsOf(service)) {
+      if (!other.isLive) continue
       if (this.#context.state.runsOn(other.key).size > 0) hasRuns = true
       if (other !== session && !other.record.isDraining && !this.#drainer.isCordoned(other)) return false
     }
@@ -191,7 +191,7 @@
    * a machine that the platform no longer has doesn't block the wave.
    */
   async #handleMissing (wave: MaintenanceWave): Promise<void> {
-    const missing = [...wave.machines].filter(([machine, state]) => state !== 'done' && state !== 'gone' && this.#sessionOf(machine) === undefined)
+    const missing = [...wave.machines].filter(([machine, state]) => state !== 'done' && state !== 'gone' && this.#registry.liveSessionOn(machine) === undefined)
     if (missing.length === 0) return
     const list = await this.#refreshList()
     if (list === null) return
@@ -237,13 +237,6 @@
     }
   }
 
-  #sessionOf (machine: string): WorkerSession | undefined {
-    for (const session of this.#registry.sessions) {
-      if (session.record.machine === machine && session.isLive) return session
-    }
-    return undefined
-  }
-
   async #mark (wave: MaintenanceWave, marks: readonly MaintenanceMark[]): Promise<void> {
     if (marks.length > 0) await this.#context.propose('markUpkeep', { wave: wave.id, marks })
   }
--- a/src/maintenance/runner/test.ts
+++ b/src/maintenance/runner/test.ts
@@ -59,7 +59,7 @@
       }
     }
     const work = new Notifier(this.clock)
-    this.#registry = new WorkerRegistry(context, (record) => this.#incarnations.get(record.machine) as SimWorker, () => { work.notify() })
+    this.#registry = new WorkerRegistry(context, { connect: (record) => this.#incarnations.get(record.machine) as SimWorker, countCallers: () => 1 }, () => { work.notify() })
     const drainer = new MachineDrainer(context, this.#registry, () => false)
     const scheduler = new BatchScheduler(context, this.#registry, new RunStats(), { isCordoned: (session) => drainer.isCordoned(session), getAllowedWorkers: () => null, getTicket: () => null }, work)
     void scheduler.run()
--- a/src/pools/mover/index.ts
+++ b/src/pools/mover/index.ts
@@ -95,6 +95,7 @@
   async run (): Promise<void> {
     const { clock, signal, log, mayOrder } = this.#context
     await clock.sleep(this.#context.state.data.workers.size === 0 ? FIRST_REPORTS_WAIT_MS : FIRST_POLLS_WAIT_MS, signal)
+    while (!signal.aborted && this.#registry.isContacting) await clock.sleep(CYCLE_INTERVAL_MS, signal)
     while (!signal.aborted) {
       await clock.sleep(CYCLE_INTERVAL_MS, signal)
       if (signal.aborted || !mayOrder() || this.#isFenced || this.#context.state.data.config === null) continue
--- a/src/workers/constants.ts
+++ b/src/workers/constants.ts
@@ -9,6 +9,9 @@
 /** Longest time that a worker holds a long poll when no run has ended; also the interval between lease renewals. */
 export const POLL_WAIT_MS = 600
 
+/** Longest time that an idle worker holds a long poll on the largest fleets. The lease of a run that starts meanwhile is renewed by the next one. */
+export const MAX_IDLE_POLL_WAIT_MS = 1800
+
 /** Time allowed for the answer to a long poll, in addition to the time for which the worker may hold it. */
 export const POLL_TIMEOUT_MS = 600
 
@@ -21,8 +24,8 @@
 /** Lease sent with a start: the worker refuses a start that arrives after it has expired. */
 export const START_LEASE_MS = 1400
 
-/** A worker that has not answered for this long gets no work: the time of one long poll with its time-out. */
-export const UNRESPONSIVE_AFTER_MS = POLL_WAIT_MS + POLL_TIMEOUT_MS
+/** Polls in flight that workers answer at once, for each process that makes calls. */
+export const IMMEDIATE_POLLS_PER_CALLER = 32
 
 /** Interval between checks whether the leader lease is confirmed, so that orders may be sent again. */
 export const LEADER_LEASE_CHECK_MS = 20
--- /dev/null
+++ b/src/workers/contact/index.ts
@@ -0,0 +1,57 @@
+/** Tracks whether a worker answers its long polls. */
+import type { Clock, Millis } from '../../clock/index.js'
+import { MAX_RETRY_DELAY_MS, POLL_TIMEOUT_MS, POLL_WAIT_MS, RETRY_DELAY_INCREMENT_MS } from '../constants.js'
+
+/** Records the answers and the failures of one incarnation's long polls. */
+export class WorkerContact {
+  readonly #clock: Clock
+  #answeredAt: Millis = Number.NEGATIVE_INFINITY
+  /** Time since the last answer after which the worker counts as unresponsive: that of the current long poll with its time-out. */
+  #unresponsiveAfterMs: Millis = POLL_WAIT_MS + POLL_TIMEOUT_MS
+  #consecutiveFailures = 0
+
+  /** @param clock - source of time */
+  constructor (clock: Clock) {
+    this.#clock = clock
+  }
+
+  /** Long polls in a row that failed. */
+  get consecutiveFailures (): number {
+    return this.#consecutiveFailures
+  }
+
+  /** Clock reading of the last answer; minus infinity before the first one. */
+  get answeredAt (): Millis {
+    return this.#answeredAt
+  }
+
+  /** Whether the worker has answered recently. */
+  get isResponsive (): boolean {
+    return this.#clock.now() - this.#answeredAt < this.#unresponsiveAfterMs
+  }
+
+  /** Time to wait before the next poll after a failure, in milliseconds. */
+  get retryDelayMs (): Millis {
+    return Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_INCREMENT_MS * this.#consecutiveFailures)
+  }
+
+  /**
+   * Records that a long poll is sent.
+   *
+   * @param waitMs - how long the worker may hold it
+   */
+  recordPoll (waitMs: Millis): void {
+    if (waitMs > 0) this.#unresponsiveAfterMs = waitMs + POLL_TIMEOUT_MS
+  }
+
+  /** Records the answer to a long poll. */
+  recordAnswer (): void {
+    this.#answeredAt = this.#clock.now()
+    this.#consecutiveFailures = 0
+  }
+
+  /** Records that a long poll has failed. */
+  recordFailure (): void {
+    this.#consecutiveFailures += 1
+  }
+}
--- /dev/null
+++ b/src/workers/contact/test.ts
@@ -0,0 +1,35 @@
+import { expect } from 'chai'
+import { ManualClock } from '../../clock/index.js'
+import { MAX_RETRY_DELAY_MS, POLL_TIMEOUT_MS, POLL_WAIT_MS } from '../constants.js'
+import { WorkerContact } from './index.js'
+
+describe('WorkerContact', () => {
+  it('counts a worker as unresponsive before its first answer', () => {
+    expect(new WorkerContact(new ManualClock()).isResponsive).to.equal(false)
+  })
+
+  it('counts a worker as unresponsive once its long poll should have been answered', async () => {
+    for (const waitMs of [POLL_WAIT_MS, 3 * POLL_WAIT_MS]) {
+      const clock = new ManualClock()
+      const contact = new WorkerContact(clock)
+      contact.recordAnswer()
+      contact.recordPoll(waitMs)
+      await clock.advance(waitMs + POLL_TIMEOUT_MS - 1)
+      expect(contact.isResponsive).to.equal(true)
+      await clock.advance(1)
+      expect(contact.isResponsive).to.equal(false)
+    }
+  })
+
+  it('delays polls after failures, longer with each one, until the next answer', () => {
+    const contact = new WorkerContact(new ManualClock())
+    contact.recordFailure()
+    const first = contact.retryDelayMs
+    contact.recordFailure()
+    expect(contact.retryDelayMs).to.be.above(first)
+    for (let i = 0; i < 100; i++) contact.recordFailure()
+    expect(contact.retryDelayMs).to.equal(MAX_RETRY_DELAY_MS)
+    contact.recordAnswer()
+    expect(contact.consecutiveFailures).to.equal(0)
+  })
+})
--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -3,10 +3,14 @@
 import type { TermContext } from '../../batch/leader/context.js'
 import type { WorkerRecord } from '../../batch/state/records.js'
 import { workerKey, type WorkerReport } from '../../batch/types.js'
+import { IMMEDIATE_POLLS_PER_CALLER } from '../constants.js'
+import { computeIdlePollWait } from '../idlePollWait/index.js'
 import { isRunOver, startStatusOf } from '../isRunOver/index.js'
+import { PollGate } from '../pollGate/index.js'
 import { createRunOrder } from '../runOrder/index.js'
 import { isSameRecord, toRecord } from '../workerRecord/index.js'
 import { WorkerSession } from '../session/index.js'
+import type { WorkerSessionContext } from '../session/types.js'
 import type { WorkerCalls } from '../types.js'
 
 /** A worker that has not answered for this long, and whose lease has expired, is forgotten until it reports again. */
@@ -18,13 +22,18 @@
 /** Result of a report. `late`: a newer report or a later incarnation makes it obsolete, or the worker is known to be gone. */
 export type ReportVerdict = 'recorded' | 'late'
 
-/** Creates the client of a worker. */
-export type ConnectWorker = (worker: WorkerRecord) => WorkerCalls
+/** Calls to workers, as the registry needs them. */
+export interface WorkerConnector {
+  /** Creates the client of a worker. */
+  readonly connect: (worker: WorkerRecord) => WorkerCalls
+  /** Returns the number of processes that make the calls, at least 1. */
+  readonly countCallers: () => number
+}
 
 /** Handles the workers' reports, and opens and ends sessions. */
 export class WorkerRegistry {
   readonly #context: TermContext
-  readonly #connect: ConnectWorker
+  readonly #connector: WorkerConnector
   readonly #onChange: () => void
   readonly #clock: Clock
   readonly #sessions = new Map<string, WorkerSession>()
@@ -32,18 +41,26 @@
   readonly #drainingUntil = new Map<string, Millis>()
   /** Runs that are being revoked at the next incarnation, by worker, task and run. */
   readonly #revoking = new Set<string>()
+  readonly #pollGate: PollGate
+  /** Sessions with run ends to commit. */
+  #sessionsWithEnds = new Set<WorkerSession>()
+  #hasNewlyGone = false
 
   /**
    * @param context - shared dependencies of the term
-   * @param connect - creates the client of a worker
+   * @param connector - makes calls to workers
    * @param onChange - called when there may be something to plan
    */
-  constructor (context: TermContext, connect: ConnectWorker, onChange: () => void) {
+  constructor (context: TermContext, connector: WorkerConnector, onChange: () => void) {
     this.#context = context
     this.#clock = context.clock
-    this.#connect = connect
+    this.#connector = connector
     this.#onChange = onChange
-    for (const record of context.state.data.workers.values()) this.#openSession(record)
+    this.#pollGate = new PollGate(() => IMMEDIATE_POLLS_PER_CALLER * connector.countCallers())
+    const records = [...context.state.data.workers]
+    const isBusy = ([key]: readonly [string, WorkerRecord]): boolean => context.state.runsOn(key).size > 0
+    // The first polls are sent in this order.
+    for (const [, record] of [...records.filter(isBusy), ...records.filter((entry) => !isBusy(entry))]) this.#openSession(record)
   }
 
   /** All sessions, including those of workers that are gone but not dismissed yet. */
@@ -51,6 +68,44 @@
     return this.#sessions.values()
   }
 
+  /** Whether some workers have not been polled for the first time yet. */
+  get isContacting (): boolean {
+    return this.#pollGate.hasWaitingFirstPolls
+  }
+
+  /**
+   * Lists the sessions with the workers of a service.
+   *
+   * @param service - name of the service
+   */
+  * sessionsOf (service: string): Generator<WorkerSession> {
+    yield * this.#sessionsAmong(this.#context.state.workerIndex.ofService(service))
+  }
+
+  /**
+   * Returns the session with the responsive worker on a machine.
+   *
+   * @param machine - name of the machine
+   */
+  liveSessionOn (machine: string): WorkerSession | undefined {
+    for (const session of this.#sessionsAmong(this.#context.state.workerIndex.onMachine(machine))) if (session.isLive) return session
+    return undefined
+  }
+
+  /** Removes and returns the sessions that have recorded run ends since the last call. */
+  takeSessionsWithEnds (): Iterable<WorkerSession> {
+    const sessions = this.#sessionsWithEnds
+    this.#sessionsWithEnds = new Set()
+    return sessions
+  }
+
+  /** Returns whether a worker has become known to be gone since the last call. */
+  takeNewlyGone (): boolean {
+    const hasNewlyGone = this.#hasNewlyGone
+    this.#hasNewlyGone = false
+    return hasNewlyGone
+  }
+
   /** @param key - key of the worker's incarnation */
   sessionOf (key: string): WorkerSession | undefined {
     return this.#sessions.get(key)
@@ -100,8 +155,8 @@
    * @param id - id of the worker
    */
   leave (id: string): void {
-    for (const session of this.#sessions.values()) {
-      if (session.record.id !== id || session.goneReason !== null) continue
+    for (const session of this.#sessionsAmong(this.#context.state.workerIndex.withId(id))) {
+      if (session.goneReason !== null) continue
       const cancel = this.#clock.after(LEAVE_GRACE_MS, () => { session.markGone('the worker has left') })
       this.#context.signal.addEventListener('abort', cancel, { once: true })
     }
@@ -114,7 +169,7 @@
    * @param reason - why, for the log and for explanations
    */
   markMachineGone (machine: string, reason: string): void {
-    for (const session of this.#sessions.values()) if (session.record.machine === machine) session.markGone(reason)
+    for (const session of this.#sessionsAmong(this.#context.state.workerIndex.onMachine(machine))) session.markGone(reason)
   }
 
   /**
@@ -144,15 +199,15 @@
   }
 
   #findNextIncarnation ({ record }: WorkerSession): WorkerSession | undefined {
-    for (const other of this.#sessions.values()) {
-      if (other.record.id === record.id && other.record.born > record.born && other.goneReason === null) return other
+    for (const other of this.#sessionsAmong(this.#context.state.workerIndex.withId(record.id))) {
+      if (other.record.born > record.born && other.goneReason === null) return other
     }
     return undefined
   }
 
   #findEarlierIncarnation ({ id, born }: WorkerRecord, task: string, run: number): string | null {
-    for (const { key, record } of this.#sessions.values()) {
-      if (record.id === id && record.born < born && this.#context.state.runsOn(key).get(task)?.run === run) return key
+    for (const { key, record } of this.#sessionsAmong(this.#context.state.workerIndex.withId(id))) {
+      if (record.born < born && this.#context.state.runsOn(key).get(task)?.run === run) return key
     }
     return null
   }
@@ -195,33 +250,48 @@
 
   /** Whether a later incarnation of the same worker, machine or address makes a report obsolete. */
   #isSuperseded (report: WorkerReport): boolean {
-    for (const other of this.#context.state.data.workers.values()) {
-      if (other.born <= report.born) continue
-      if (sharesIdentity(other, report)) return true
-    }
+    for (const [, other] of this.#context.state.workerIndex.related(report)) if (other.born > report.born) return true
     return false
   }
 
   #endEarlierIncarnations (record: WorkerRecord): void {
-    for (const session of this.#sessions.values()) {
-      if (session.record.born < record.born && sharesIdentity(session.record, record)) session.markGone('a later incarnation of its id, machine or address has reported')
+    for (const session of this.#sessionsAmong(this.#context.state.workerIndex.related(record))) {
+      if (session.record.born < record.born) session.markGone('a later incarnation of its id, machine or address has reported')
     }
   }
 
   #openSession (record: WorkerRecord): void {
     const { clock, log, metrics, term, mayOrder, state } = this.#context
     const key = workerKey(record)
-    const session = new WorkerSession(key, record, this.#connect(record), { clock, log, metrics, token: term, mayOrder, runsOn: (worker) => state.runsOn(worker), isRunNeeded: (task, run) => state.isRunNeeded(task, run), earlierIncarnationWith: (task, run) => this.#findEarlierIncarnation(record, task, run), onChange: this.#onChange })
+    const sessionContext: WorkerSessionContext = {
+      clock,
+      log,
+      metrics,
+      token: term,
+      mayOrder,
+      runsOn: (worker) => state.runsOn(worker),
+      isRunNeeded: (task, run) => state.isRunNeeded(task, run),
+      earlierIncarnationWith: (task, run) => this.#findEarlierIncarnation(record, task, run),
+      onChange: this.#onChange,
+      onRunEnd: () => { this.#sessionsWithEnds.add(session) },
+      onGone: () => { this.#hasNewlyGone = true },
+      pollGate: this.#pollGate,
+      idlePollWaitMs: () => computeIdlePollWait(this.#sessions.size, this.#connector.countCallers())
+    }
+    const session = new WorkerSession(key, record, this.#connector.connect(record), sessionContext)
     this.#sessions.set(key, session)
     void session.run()
   }
 
+  * #sessionsAmong (workers: Iterable<readonly [key: string, record: WorkerRecord]>): Generator<WorkerSession> {
+    for (const [key] of workers) {
+      const session = this.#sessions.get(key)
+      if (session !== undefined) yield session
+    }
+  }
+
   #reopenSession (session: WorkerSession, record: WorkerRecord): void {
     session.end()
     this.#openSession(record)
   }
 }
-
-function sharesIdentity (a: { readonly id: string, readonly machine: string, readonly address: string }, b: { readonly id: string, readonly machine: string, readonly address: string }): boolean {
-  return a.id === b.id || a.address === b.address || (a.machine !== '' && a.machine === b.machine)
-}
--- /dev/null
+++ b/src/workers/registry/test.ts
@@ -0,0 +1,110 @@
+import { expect } from 'chai'
+import { createJob, createStep, createWorker } from '../../batch/fixtures/index.js'
+import type { TermContext } from '../../batch/leader/context.js'
+import { BatchState } from '../../batch/state/index.js'
+import type { BatchCommand } from '../../batch/state/records.js'
+import { ManualClock } from '../../clock/index.js'
+import { EventLog } from '../../logs/eventLog/index.js'
+import { Metrics } from '../../metrics/index.js'
+import { IMMEDIATE_POLLS_PER_CALLER, LEASE_MS } from '../constants.js'
+import type { WorkerCalls, WorkerPollRequest } from '../types.js'
+import { WorkerRegistry } from './index.js'
+
+const JOB = '00000000000000aa'
+const CALLERS = 4
+const ANSWER_MS = 5
+
+/** Workers of a state that a new leader takes over. */
+function createHarness (workerCount: number, busyWorkers: readonly string[] = [], silentWorkers: readonly string[] = []) {
+  const clock = new ManualClock()
+  const state = new BatchState()
+  const end = new AbortController()
+  const polls: Array<{ readonly id: string, readonly at: number } & WorkerPollRequest> = []
+  let immediateInFlight = 0
+  let maxImmediateInFlight = 0
+  const apply = (command: unknown): unknown => state.apply(0, command as BatchCommand)
+  const context: TermContext = {
+    clock,
+    state,
+    log: new EventLog('test', clock, { writableLength: 0, write: () => {} }),
+    metrics: new Metrics(),
+    term: 2,
+    holder: 'leader',
+    mayOrder: () => true,
+    signal: end.signal,
+    propose: async (type, input) => apply({ type, at: clock.wall(), ...input })
+  }
+  for (let i = 0; i < workerCount; i++) apply({ type: 'enrol', at: 0, workers: [createWorker(`w${i}`)] })
+  apply({ type: 'accept', at: 0, jobs: [createJob(JOB, { steps: [createStep({ count: Math.max(1, busyWorkers.length) })] })] })
+  apply({ type: 'place', at: 0, placements: busyWorkers.map((id, i) => ({ task: `${JOB}.0.0.${i}`, run: 1, worker: `${id}@1` })) })
+  const connect = ({ id }: { readonly id: string }): WorkerCalls => ({
+    poll: async (req: WorkerPollRequest, timeoutMs: number) => {
+      polls.push({ id, at: clock.now(), ...req })
+      if (req.waitMs === 0) maxImmediateInFlight = Math.max(maxImmediateInFlight, ++immediateInFlight)
+      const isSilent = silentWorkers.includes(id)
+      await clock.sleep(isSilent ? timeoutMs : ANSWER_MS + req.waitMs)
+      if (req.waitMs === 0) immediateInFlight -= 1
+      if (isSilent) throw new Error('no answer')
+      const task = busyWorkers.indexOf(id)
+      return { refusal: null, clockMs: clock.now(), born: 1, running: task < 0 ? [] : [{ task: `${JOB}.0.0.${task}`, run: 1, checkpoint: '', percent: 10, load: null }], ended: [] }
+    },
+    close: () => {}
+  }) as unknown as WorkerCalls
+  const registry = new WorkerRegistry(context, { connect, countCallers: () => CALLERS }, () => {})
+  return { clock, registry, polls, maxImmediateInFlight: () => maxImmediateInFlight, stop: () => { end.abort(); registry.end() } }
+}
+
+describe('WorkerRegistry', () => {
+  // On a fleet of 3,000 workers the polls of all of them at once kept each new term from lasting a second.
+  it('limits the polls in flight when a term begins on a fleet of thousands (sweep at 301 machines)', async () => {
+    const { clock, registry, maxImmediateInFlight, polls, stop } = createHarness(3000)
+    expect(registry.isContacting).to.equal(true)
+    await clock.advance(1000)
+    expect(maxImmediateInFlight()).to.be.at.most(CALLERS * IMMEDIATE_POLLS_PER_CALLER)
+    expect(new Set(polls.map(({ id }) => id)).size).to.equal(3000)
+    expect(registry.isContacting).to.equal(false)
+    stop()
+  })
+
+  it('polls the workers with runs first when a term begins, and renews their leases in time', async () => {
+    const busy = ['w2900', 'w2950', 'w2999']
+    const { clock, polls, stop } = createHarness(3000, busy)
+    const began = clock.now()
+    await clock.advance(1000)
+    expect(polls.slice(0, busy.length).map(({ id }) => id)).to.deep.equal(busy)
+    const renewals = polls.filter(({ id, leaseEndMs }) => busy.includes(id) && leaseEndMs !== null)
+    for (const id of busy) expect(renewals.find((poll) => poll.id === id)?.at).to.be.below(began + LEASE_MS / 10)
+    stop()
+  })
+
+  it('reaches all workers that answer although some hundred do not', async () => {
+    const silent = Array.from({ length: 400 }, (_, i) => `w${i}`)
+    const { clock, registry, stop } = createHarness(3000, [], silent)
+    await clock.advance(4000)
+    expect([...registry.sessions].filter(({ isLive }) => isLive)).to.have.length(2600)
+    stop()
+  })
+
+  it('polls the idle workers of a large fleet less often than the busy ones', async () => {
+    const { clock, polls, stop } = createHarness(3000, ['w7'])
+    await clock.advance(10_000)
+    const idle = polls.filter(({ id, waitMs }) => id === 'w8' && waitMs > 0).length
+    const busy = polls.filter(({ id, waitMs }) => id === 'w7' && waitMs > 0).length
+    expect(idle).to.be.within(5, 7)
+    expect(busy).to.be.above(2 * idle)
+    stop()
+  })
+
+  it('ends the earlier incarnation when a worker reports again from its machine or its address', async () => {
+    const { clock, registry, stop } = createHarness(2)
+    await clock.advance(100)
+    const { isDraining: _, ...record } = createWorker('new', { born: 2, machine: 'm-w0', address: 'new:1' })
+    expect(await registry.report({ ...record, state: 'ready', drainLeftMs: null, sequence: 1 })).to.equal('recorded')
+    expect(registry.sessionOf('w0@1')?.goneReason).to.be.a('string')
+    expect(registry.sessionOf('w1@1')?.goneReason).to.equal(null)
+    const { isDraining: _other, ...late } = createWorker('w0')
+    expect(await registry.report({ ...late, state: 'ready', drainLeftMs: null, sequence: 1 })).to.equal('late')
+    expect(registry.liveSessionOn('m-w1')?.key).to.equal('w1@1')
+    stop()
+  })
+})
--- a/src/workers/relayRouter/index.ts
+++ b/src/workers/relayRouter/index.ts
@@ -65,20 +65,38 @@
    */
   route (worker: string): string | null {
     this.#refresh()
-    const address = this.#routes.get(worker)
-    const relay = address === undefined ? undefined : this.#relays.get(address)
-    const usable = [...this.#relays].filter(([address, relay]) => this.#isUsable(relay) && this.#unreachedThrough.get(worker) !== address)
-    if (address !== undefined && relay !== undefined && usable.some(([usableAddress]) => usableAddress === address)) {
-      const mean = usable.reduce((sum, [, { workers }]) => sum + workers.size, 0) / usable.length
-      if (relay.workers.size <= Math.ceil(mean * MAX_LOAD_RATIO)) return address
+    const current = this.#routes.get(worker)
+    const unreachedThrough = this.#unreachedThrough.get(worker)
+    let usableCount = 0
+    let routedCount = 0
+    let currentSize: number | null = null
+    let leastLoaded: string | null = null
+    let leastSize = Number.POSITIVE_INFINITY
+    for (const [address, relay] of this.#relays) {
+      if (!this.#isUsable(relay) || address === unreachedThrough) continue
+      const { size } = relay.workers
+      usableCount += 1
+      routedCount += size
+      if (address === current) currentSize = size
+      if (size < leastSize) {
+        leastLoaded = address
+        leastSize = size
+      }
     }
+    if (current !== undefined && currentSize !== null && currentSize <= Math.ceil(routedCount / usableCount * MAX_LOAD_RATIO)) return current
     this.#release(worker)
-    const leastLoaded = usable.sort(([, a], [, b]) => a.workers.size - b.workers.size)[0]
-    if (leastLoaded === undefined) return null
-    const [next, { workers }] = leastLoaded
-    workers.add(worker)
-    this.#routes.set(worker, next)
-    return next
+    if (leastLoaded === null) return null
+    this.#relays.get(leastLoaded)?.workers.add(worker)
+    this.#routes.set(worker, leastLoaded)
+    return leastLoaded
+  }
+
+  /** Returns the number of processes that make calls: the relays that answer, or the leader itself while there are none. */
+  countCallers (): number {
+    this.#refresh()
+    let usable = 0
+    for (const relay of this.#relays.values()) if (this.#isUsable(relay)) usable += 1
+    return Math.max(1, usable)
   }
 
   /**
@@ -163,7 +181,8 @@
   #lose (address: string, relay: Relay): void {
     this.#log.info('relay.lost', { relay: address, workers: relay.workers.size, inFlight: relay.inFlight.size })
     relay.isLive = false
-    for (const reject of relay.inFlight) reject(new RelayLostError(`the relay ${address} no longer answers`))
+    const err = new RelayLostError(`the relay ${address} no longer answers`)
+    for (const reject of relay.inFlight) reject(err)
     relay.inFlight.clear()
   }
 }
--- a/src/workers/relayedCalls/index.ts
+++ b/src/workers/relayedCalls/index.ts
@@ -10,6 +10,9 @@
 /** Time for the way to the relay and back, in addition to the timeout of the call that it makes. */
 const RELAY_MARGIN_MS: Millis = 150
 
+/** Relays that are asked to make a call, one after the other, while it is certain that none has made it. */
+const MAX_RELAYS_ASKED = 2
+
 /** Name of the call between processes. */
 export const RELAY_CALL = 'relay'
 
@@ -65,10 +68,14 @@
   }
 
   async #call<K extends WorkerCallName> (call: K, req: WorkerCallTypes[K]['req'], timeoutMs: Millis): Promise<WorkerCallTypes[K]['answer']> {
-    const relay = this.#isClosed ? null : this.#deps.router.route(this.#key)
-    const relayed = relay === null ? null : await this.#relay(relay, call, req, timeoutMs)
-    if (relayed === null) return await this.#callDirectly(call, req, timeoutMs)
-    return relayed
+    const { router, mayOrder } = this.#deps
+    for (let attempt = 0; attempt < MAX_RELAYS_ASKED; attempt++) {
+      const relay = this.#isClosed || (attempt > 0 && !mayOrder()) ? null : router.route(this.#key)
+      if (relay === null) break
+      const answer = await this.#relay(relay, call, req, timeoutMs)
+      if (answer !== null) return answer
+    }
+    return await this.#callDirectly(call, req, timeoutMs)
   }
 
   /** Makes a call through a relay. Resolves to null when the call was certainly not made. */
@@ -79,9 +86,13 @@
     try {
       outcome = await router.track(relay, links.to(relay).call<RelayAnswer<K>>(RELAY_CALL, { worker: this.#worker, call, req, timeoutMs }, timeoutMs + RELAY_MARGIN_MS))
     } catch (err) {
+      if (!isCertainlyNotSent(err)) {
+        // A relay that is only slow keeps the workers whose calls it answers: all of them at once would overload the others.
+        router.avoidFor(this.#key, relay)
+        throw err
+      }
       router.avoid(relay, (err as Error).message)
-      if (isCertainlyNotSent(err)) return null
-      throw err
+      return null
     }
     if (outcome.kind === 'answered') return outcome.answer
     if (outcome.kind === 'refused') {
--- a/src/workers/runOrder/index.ts
+++ b/src/workers/runOrder/index.ts
@@ -1,4 +1,5 @@
 /** Keeps what the leader knows about one run on a worker, beyond the replicated state. */
+import type { RunningTask } from '../../batch/types.js'
 import type { Millis } from '../../clock/index.js'
 
 /**
@@ -39,3 +40,43 @@
 export function createRunOrder (run: number, now: Millis): RunOrder {
   return { run, phase: 'unclear', settledAt: Number.NEGATIVE_INFINITY, startedAt: now, isStopRequested: false, isStopping: false, percent: -1, percentChangedAt: now, load: null, pace: 100, checkpoint: '' }
 }
+
+/** The leader's records of the last run of each task on one worker, by task. */
+export class RunOrders extends Map<string, RunOrder> {
+  /**
+   * Returns the record of a run, and creates it when there is none or only that of another run.
+   *
+   * @param task - name of the task
+   * @param run - number of the run
+   * @param now - clock reading
+   */
+  ensure (task: string, run: number, now: Millis): RunOrder {
+    let order = this.get(task)
+    if (order === undefined || order.run !== run) {
+      order = createRunOrder(run, now)
+      this.set(task, order)
+    }
+    return order
+  }
+
+  /**
+   * Records what the worker has reported about a run.
+   *
+   * @param reportedRun - the report
+   * @param now - clock reading
+   */
+  observe ({ task, run, percent, load, checkpoint }: RunningTask, now: Millis): RunOrder {
+    const order = this.ensure(task, run, now)
+    if (order.phase === 'unclear') {
+      order.phase = 'started'
+      order.startedAt = now
+    }
+    if (percent !== order.percent) {
+      order.percent = percent
+      order.percentChangedAt = now
+    }
+    order.load = load
+    order.checkpoint = checkpoint
+    return order
+  }
+}
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -3,17 +3,19 @@
 import type { Millis } from '../../clock/index.js'
 import type { RunEnd, WorkerRecord } from '../../batch/state/records.js'
 import type { EndedRun, RunningTask } from '../../batch/types.js'
+import { WorkerContact } from '../contact/index.js'
 import { LeaseClock } from '../leaseClock/index.js'
 import type { WorkerSessionContext, StartOrder } from './types.js'
 import type { OrderAnswer, OrderRefusal, WorkerCalls } from '../types.js'
-import { createRunOrder, type RunOrder } from '../runOrder/index.js'
+import { createRunOrder, RunOrders, type RunOrder } from '../runOrder/index.js'
+import type { LeaveGate } from '../pollGate/index.js'
 import { StartQueue } from '../startQueue/index.js'
-import { MAX_COMMIT_WAIT_MS, RETRY_DELAY_INCREMENT_MS, LEASE_MS, LEADER_LEASE_CHECK_MS, POLL_TIMEOUT_MS, POLL_WAIT_MS, MAX_RETRY_DELAY_MS, MAX_CONCURRENT_STARTS, ORDER_TIMEOUT_MS, UNRESPONSIVE_AFTER_MS, START_LEASE_MS } from '../constants.js'
+import { MAX_COMMIT_WAIT_MS, LEASE_MS, LEADER_LEASE_CHECK_MS, POLL_TIMEOUT_MS, POLL_WAIT_MS, MAX_CONCURRENT_STARTS, ORDER_TIMEOUT_MS, START_LEASE_MS } from '../constants.js'
 
 /** Stays in contact with one incarnation of a worker until it is gone or the term ends. */
 export class WorkerSession {
   /** The leader's record of the last run of each task on the worker, by task. */
-  readonly orders = new Map<string, RunOrder>()
+  readonly orders = new RunOrders()
   /** Whether another incarnation under the same id has answered instead. */
   isReincarnated = false
   /** Why the worker is known to be gone, or null. */
@@ -26,13 +28,12 @@
   readonly #calls: WorkerCalls
   readonly #context: WorkerSessionContext
   readonly #lease: LeaseClock
-  readonly #commitNotifier: Notifier
+  /** Notified when run ends are committed and when the session ends. */
+  readonly #wakeNotifier: Notifier
   readonly #startQueue: StartQueue
-  readonly #abortController = new AbortController()
+  #isEnded = false
   #goneAt: Millis = Number.POSITIVE_INFINITY
-  #lastPolledAt: Millis = Number.NEGATIVE_INFINITY
-  /** Long polls in a row that failed. */
-  #consecutiveFailures = 0
+  readonly #contact: WorkerContact
   #runEnds: RunEnd[] = []
   /** Highest sequence number of the run ends that the worker has listed. */
   #listedSeq = 0
@@ -49,14 +50,15 @@
     this.record = record
     this.#calls = calls
     this.#context = context
+    this.#contact = new WorkerContact(context.clock)
     this.#lease = new LeaseClock(LEASE_MS, context.clock.now())
-    this.#commitNotifier = new Notifier(context.clock)
+    this.#wakeNotifier = new Notifier(context.clock)
     this.#startQueue = new StartQueue(MAX_CONCURRENT_STARTS, (task, run) => context.isRunNeeded(task, run) && this.orders.get(task)?.isStopRequested !== true)
   }
 
   /** Whether the worker has answered recently, so that it may be given work. */
   get isLive (): boolean {
-    return this.goneReason === null && this.#context.clock.now() - this.#lastPolledAt < UNRESPONSIVE_AFTER_MS
+    return this.goneReason === null && this.#contact.isResponsive
   }
 
   /** Whether no run that was ever started in this incarnation can still be running. */
@@ -88,7 +90,7 @@
 
   /** Time since the last contact, in milliseconds. */
   get unresponsiveMs (): Millis {
-    return this.#context.clock.now() - this.#lastPolledAt
+    return this.#context.clock.now() - this.#contact.answeredAt
   }
 
   /** Removes and returns the run ends to commit, and the sequence number to acknowledge once they are committed. */
@@ -101,7 +103,7 @@
   /** @param seq - sequence number up to which run ends are committed */
   acknowledge (seq: number): void {
     this.#acknowledgedSeq = Math.max(this.#acknowledgedSeq, seq)
-    this.#commitNotifier.notify()
+    this.#wakeNotifier.notify()
   }
 
   /** @param reason - why the incarnation is known to be gone */
@@ -110,37 +112,60 @@
     this.goneReason = reason
     this.#goneAt = this.#context.clock.now()
     this.#context.log.info('worker.gone', { worker: this.key, service: this.record.service, reason })
+    this.#context.onGone()
     this.#context.onChange()
     this.end()
   }
 
   /** Stops polling and closes the connections to the worker. */
   end (): void {
-    this.#abortController.abort()
+    this.#isEnded = true
     this.#calls.close()
-    this.#commitNotifier.notify()
+    this.#wakeNotifier.notify()
   }
 
   /** Polls the worker and renews its lease until it is gone or the term ends. */
   async run (): Promise<void> {
-    const { clock } = this.#context
-    const { signal } = this.#abortController
-    while (!signal.aborted) {
+    while (!this.#isEnded) {
       if (!this.#context.mayOrder()) {
-        await clock.sleep(LEADER_LEASE_CHECK_MS, signal)
+        await this.#pause(LEADER_LEASE_CHECK_MS)
         continue
       }
+      const leaveGate = await this.#enterGate()
       try {
+        // The lease of the leader may have run out while the poll waited for its turn.
+        if (this.#isEnded || !this.#context.mayOrder()) continue
         await this.#pollOnce()
-        this.#consecutiveFailures = 0
       } catch (err) {
-        this.#consecutiveFailures += 1
-        if (this.#consecutiveFailures === 1 && !signal.aborted) this.#context.log.info('worker.silent', { worker: this.key, service: this.record.service, reason: (err as Error).message })
-        await clock.sleep(Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_INCREMENT_MS * this.#consecutiveFailures), signal)
+        this.#contact.recordFailure()
+        if (this.#contact.consecutiveFailures === 1 && !this.#isEnded) this.#context.log.info('worker.silent', { worker: this.key, service: this.record.service, reason: (err as Error).message })
+      } finally {
+        leaveGate?.()
       }
+      if (this.#contact.consecutiveFailures > 0) await this.#pause(this.#contact.retryDelayMs)
+      // The worker answers at once while it has unacknowledged run ends, so wait until these are committed.
+      else if (this.#listedSeq > this.#acknowledgedSeq) await this.#pause(MAX_COMMIT_WAIT_MS)
     }
   }
 
+  /** Waits, but not beyond the end of the session. */
+  #pause (ms: Millis): Promise<void> {
+    return this.#isEnded ? Promise.resolve() : this.#wakeNotifier.waitBeyond(this.#wakeNotifier.count, ms)
+  }
+
+  /** Waits for the turn of a poll that the worker answers at once. */
+  async #enterGate (): Promise<LeaveGate | null> {
+    const hasFailed = this.#contact.consecutiveFailures > 0
+    if (this.#lease.isKnown && !hasFailed) return null
+    if (hasFailed) return await this.#context.pollGate.enter('retry')
+    return await this.#context.pollGate.enter(this.#context.runsOn(this.key).size > 0 ? 'withRuns' : 'idle')
+  }
+
+  /** Whether nothing runs on the worker, is being started there, or has ended without being committed. */
+  get #isIdle (): boolean {
+    return this.orders.size === 0 && this.#listedSeq === this.#acknowledgedSeq && this.#context.runsOn(this.key).size === 0
+  }
+
   /**
    * Sends a start, unless the run is no longer needed when its turn comes.
    *
@@ -204,7 +229,7 @@
    */
   async stop (task: string, run: number): Promise<void> {
     const { clock, token } = this.#context
-    const order = this.#orderOf(task, run)
+    const order = this.orders.ensure(task, run, clock.now())
     order.isStopRequested = true
     if (order.isStopping || order.phase === 'starting' || !this.#context.mayOrder()) return
     order.isStopping = true
@@ -250,8 +275,9 @@
     metrics.count('oleanderward_worker_polls')
     const isFirst = !this.#lease.isKnown
     // Don't renew the lease of an unresponsive worker: each attempt may arrive and would postpone its expiry.
-    const leaseEndMs = isFirst || this.#consecutiveFailures > 0 ? null : this.#lease.grant(sentAt, LEASE_MS)
-    const waitMs = leaseEndMs === null ? 0 : POLL_WAIT_MS
+    const leaseEndMs = isFirst || this.#contact.consecutiveFailures > 0 ? null : this.#lease.grant(sentAt, LEASE_MS)
+    const waitMs = leaseEndMs === null ? 0 : this.#isIdle ? this.#context.idlePollWaitMs() : POLL_WAIT_MS
+    this.#contact.recordPoll(waitMs)
     const answer = await this.#calls.poll({ token, acknowledgedSeq: this.#acknowledgedSeq, leaseEndMs, waitMs }, waitMs + POLL_TIMEOUT_MS)
     if (answer.refusal === 'wrongWorker') {
       this.markGone('another worker answers at its address')
@@ -264,12 +290,10 @@
       return
     }
     const wasLive = this.isLive
-    this.#lastPolledAt = clock.now()
-    this.#lease.observe(answer.clockMs, this.#lastPolledAt)
+    this.#contact.recordAnswer()
+    this.#lease.observe(answer.clockMs, this.#contact.answeredAt)
     this.#reconcileRuns(answer.running, answer.ended, sentAt)
     if (!wasLive) this.#context.onChange()
-    // The worker answers at once while it has unacknowledged run ends, so wait until these are committed.
-    if (this.#listedSeq > this.#acknowledgedSeq) await this.#commitNotifier.waitBeyond(this.#commitNotifier.count, MAX_COMMIT_WAIT_MS, this.#abortController.signal)
   }
 
   #reconcileRuns (running: readonly RunningTask[], ended: readonly EndedRun[], sentAt: Millis): void {
@@ -293,18 +317,7 @@
   }
 
   #observeRun (reportedRun: RunningTask): void {
-    const now = this.#context.clock.now()
-    const order = this.#orderOf(reportedRun.task, reportedRun.run)
-    if (order.phase === 'unclear') {
-      order.phase = 'started'
-      order.startedAt = now
-    }
-    if (reportedRun.percent !== order.percent) {
-      order.percent = reportedRun.percent
-      order.percentChangedAt = now
-    }
-    order.load = reportedRun.load
-    order.checkpoint = reportedRun.checkpoint
+    const order = this.orders.observe(reportedRun, this.#context.clock.now())
     if (order.isStopRequested && order.phase !== 'barred') void this.stop(reportedRun.task, reportedRun.run)
   }
 
@@ -317,7 +330,7 @@
 
   /** Revokes a run that the worker doesn't list, because its start may still arrive; records it as lost once revoked. */
   #onMissingRun (task: string, run: number, sentAt: Millis): void {
-    const order = this.#orderOf(task, run)
+    const order = this.orders.ensure(task, run, this.#context.clock.now())
     if (order.phase === 'starting' || order.settledAt >= sentAt) return
     if (order.phase === 'barred') this.#recordEnd(task, run, 'lost', '')
     else void this.stop(task, run)
@@ -327,18 +340,10 @@
     const order = this.orders.get(task)
     if (order?.run === run) this.orders.delete(task)
     this.#runEnds.push({ task, run, worker, outcome, checkpoint })
+    this.#context.onRunEnd()
     this.#context.onChange()
   }
 
-  #orderOf (task: string, run: number): RunOrder {
-    let order = this.orders.get(task)
-    if (order === undefined || order.run !== run) {
-      order = createRunOrder(run, this.#context.clock.now())
-      this.orders.set(task, order)
-    }
-    return order
-  }
-
   #observeClock (answer: OrderAnswer): void {
     if (answer.clockMs !== null) this.#lease.observe(answer.clockMs, this.#context.clock.now())
   }
--- a/src/workers/session/test.ts
+++ b/src/workers/session/test.ts
@@ -4,8 +4,9 @@
 import { ManualClock } from '../../clock/index.js'
 import { EventLog } from '../../logs/eventLog/index.js'
 import { Metrics } from '../../metrics/index.js'
-import { LEASE_MS, POLL_WAIT_MS, MAX_CONCURRENT_STARTS } from '../constants.js'
+import { LEASE_MS, POLL_WAIT_MS, MAX_CONCURRENT_STARTS, MAX_IDLE_POLL_WAIT_MS } from '../constants.js'
 import type { WorkerPollRequest, OrderAnswer, OrderRefusal, WorkerCalls } from '../types.js'
+import { PollGate } from '../pollGate/index.js'
 import { WorkerSession } from './index.js'
 
 const TASK = '00000000000000aa.0.0.0'
@@ -56,7 +57,7 @@
   close (): void {}
 }
 
-function createHarness (earlierIncarnation: string | null = null) {
+function createHarness (earlierIncarnation: string | null = null, idlePollWaitMs = POLL_WAIT_MS) {
   const clock = new ManualClock()
   const worker = new FakeWorker(clock)
   const placed = new Map<string, { run: number }>()
@@ -70,7 +71,11 @@
     runsOn: () => placed,
     isRunNeeded: (task, run) => placed.get(task)?.run === run,
     earlierIncarnationWith: () => earlierIncarnation,
-    onChange: () => {}
+    onChange: () => {},
+    onRunEnd: () => {},
+    onGone: () => {},
+    pollGate: new PollGate(() => 1),
+    idlePollWaitMs: () => idlePollWaitMs
   })
   void session.run()
   return { clock, worker, placed, lease, session }
@@ -208,6 +213,24 @@
     expect(session.takeRunEnds().ends).to.deep.include({ task: last, run: 1, worker: 'w@1', outcome: 'refused', checkpoint: '' })
   })
 
+  it('renews the lease of a run that starts during the long poll of an idle worker before it expires', async () => {
+    const { clock, worker, placed, session } = createHarness(null, MAX_IDLE_POLL_WAIT_MS)
+    await clock.advance(200)
+    expect(worker.polls.at(-1)?.waitMs).to.equal(MAX_IDLE_POLL_WAIT_MS)
+    const granted = worker.polls.at(-1)?.leaseEndMs as number
+    await clock.advance(MAX_IDLE_POLL_WAIT_MS / 2)
+    placed.set(TASK, { run: 1 })
+    void session.start(startOrder)
+    worker.running = [{ task: TASK, run: 1, checkpoint: '', percent: 10, load: null }]
+    await clock.advance(MAX_IDLE_POLL_WAIT_MS)
+    const renewal = worker.polls.at(-1)
+    expect(clock.now()).to.be.below(granted)
+    expect(renewal?.waitMs).to.equal(POLL_WAIT_MS)
+    expect(renewal?.leaseEndMs).to.be.above(granted)
+    expect(session.isLive).to.equal(true)
+    session.end()
+  })
+
   it('records a run end for the earlier incarnation when the start was sent to that one', async () => {
     const { clock, worker, session } = createHarness('w@0')
     worker.ended = [{ seq: 1, task: TASK, run: 1, outcome: 'done', checkpoint: '' }]
--- a/src/workers/session/types.ts
+++ b/src/workers/session/types.ts
@@ -1,7 +1,8 @@
 /** Types of the session with a worker. */
-import type { Clock } from '../../clock/index.js'
+import type { Clock, Millis } from '../../clock/index.js'
 import type { EventLog } from '../../logs/eventLog/index.js'
 import type { Metrics } from '../../metrics/index.js'
+import type { PollGate } from '../pollGate/index.js'
 
 /** Dependencies of {@link WorkerSession}. */
 export interface WorkerSessionContext {
@@ -20,6 +21,14 @@
   readonly earlierIncarnationWith: (task: string, run: number) => string | null
   /** Called when there may be something to commit or to plan. */
   readonly onChange: () => void
+  /** Called when a run end was recorded that {@link WorkerSession.takeRunEnds} returns. */
+  readonly onRunEnd: () => void
+  /** Called when the incarnation is known to be gone. */
+  readonly onGone: () => void
+  /** Admits the polls that the worker answers at once. */
+  readonly pollGate: PollGate
+  /** Returns how long the worker may hold a long poll while it has no runs. */
+  readonly idlePollWaitMs: () => Millis
 }
 
 /** Start of one run of a task. */
