--- a/src/batch/requestHandler/index.ts
+++ b/src/batch/requestHandler/index.ts
@@ -6,7 +6,7 @@
 import type { ControlAnswer, ControlRequest } from '../requests.js'
 import { queueKey } from '../state/handlers.js'
 import type { JobRecord } from '../state/records.js'
-import type { JobPhase, Queue } from '../types.js'
+import { workerKey, type JobPhase, type Queue } from '../types.js'
 import type { WorkerRegistry } from '../../workers/registry/index.js'
 
 const JOB_ID = /^[0-9a-f]{16}$/i
@@ -54,7 +54,9 @@
       cancel: (req) => this.#cancel(req),
       report: async ({ report }) => {
         await this.#registry.report(report)
-        return { kind: 'accepted' }
+        // Its relay knows as well as the leader what the state has about it.
+        const relay = this.#listener.relayOf(workerKey(report))
+        return relay === null ? { kind: 'accepted' } : { kind: 'accepted', reportTo: relay }
       },
       leave: ({ worker }) => {
         this.#registry.leave(worker)
--- a/src/batch/requests.ts
+++ b/src/batch/requests.ts
@@ -23,7 +23,8 @@
   | { readonly kind: 'redirect', readonly leader: string | null, readonly members: readonly string[] }
   /** The outcome of the request is unknown; it may be retried. */
   | { readonly kind: 'unclear', readonly reason: string }
-  | { readonly kind: 'accepted' }
+  /** After a report, `reportTo` may name the member that takes the worker's later reports, by its internal address. */
+  | { readonly kind: 'accepted', readonly reportTo?: string }
   /** The job is rejected and never runs. */
   | { readonly kind: 'refused', readonly retryAfterMs: Millis, readonly reason: string }
   /** No configuration was received yet. */
--- a/src/control/member/index.ts
+++ b/src/control/member/index.ts
@@ -25,6 +25,8 @@
 
 /** Dependencies of {@link ControlMember}. */
 export interface ControlMemberDeps {
+  /** Address of this process for the others. */
+  readonly address: string
   readonly clock: Clock
   readonly log: EventLog
   readonly replica: Replica
@@ -121,7 +123,7 @@
   async answer (req: ControlRequest): Promise<ControlAnswer> {
     const { replica } = this.#deps
     const leader = this.#leader
-    if (leader === null && req.kind === 'report' && this.#isInContactWithLeader() && this.#deps.isKnownReport(req.report)) return { kind: 'accepted' }
+    if (leader === null && req.kind === 'report' && this.#isInContactWithLeader() && this.#deps.isKnownReport(req.report)) return { kind: 'accepted', reportTo: this.#deps.address }
     if (leader === null || !replica.isReadyLeader || replica.term !== leader.term) return this.#redirect()
     try {
       return await leader.answer(req)
--- a/src/control/member/test.ts
+++ b/src/control/member/test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import type { WorkerReport } from '../../batch/types.js'
 import { ManualClock } from '../../clock/index.js'
 import { Notifier } from '../../clock/notifier/index.js'
 import { EventLog } from '../../logs/eventLog/index.js'
@@ -27,7 +28,7 @@
     lastLeaderContactAt: clock.now(),
     changed,
     start: () => Promise.resolve(0),
-    status: () => ({ lastIndex: 0, members: MEMBERS })
+    status: () => ({ lastIndex: 0, leader: null, instance: 'own', members: MEMBERS })
   }
   const relay = { mayRelay: (_term: number): boolean => false }
   const createRelay = (mayRelay: (term: number) => boolean) => {
@@ -35,7 +36,7 @@
     return { close: () => {} }
   }
   const loop = { run: () => Promise.resolve() }
-  const deps = { clock, replica, log: new EventLog('test', clock, { writableLength: 0, write: () => {} }), bootstrapper: loop, membershipManager: loop, createRelay, onLeader: (leader: string | null) => { learned.push(leader) } }
+  const deps = { address: 'own:1', isKnownReport: ({ id }: { readonly id: string }) => id === 'known', clock, replica, log: new EventLog('test', clock, { writableLength: 0, write: () => {} }), bootstrapper: loop, membershipManager: loop, createRelay, onLeader: (leader: string | null) => { learned.push(leader) } }
   const setLeader = async (address: string | null): Promise<void> => {
     replica.leader = address === null ? null : { address }
     changed.notify()
@@ -70,6 +71,17 @@
     expect(relay.mayRelay(2)).to.equal(true)
   })
 
+  it('acknowledges a known report while it hears the leader, and takes the later ones as well', async () => {
+    const { clock, member, setLeader } = createHarness()
+    await member.start()
+    await setLeader('a:1')
+    const report = (id: string) => member.answer({ kind: 'report', report: { id } as WorkerReport })
+    expect(await report('known')).to.deep.equal({ kind: 'accepted', reportTo: 'own:1' })
+    expect((await report('new')).kind).to.equal('redirect')
+    await clock.advance(600)
+    expect((await report('known')).kind).to.equal('redirect')
+  })
+
   it('relays no call after its machine was suspended until the leader is heard again', async () => {
     const { clock, replica, relay, member, setLeader } = createHarness()
     await member.start()
