List the waiting machines of a wave once a cycle, and build without names of functions

Change: MaintenanceRunner lists the waiting machines once a cycle and takes those drained off the list; build.mjs keeps no names, which nothing reads.

--- a/build.mjs
+++ b/build.mjs
@@ -16,7 +16,6 @@
     target: 'node20',
     format: 'esm',
     minify: true,
-    keepNames: true,
     banner: {
       js: "#!/usr/bin/env node\nimport { createRequire as __createRequire } from 'node:module';const require = __createRequire(import.meta.url);"
     },
--- a/src/maintenance/runner/index.ts
+++ b/src/maintenance/runner/index.ts
@@ -3,7 +3,6 @@
 import type { TermContext } from '../../batch/leader/context.js'
 import type { MaintenanceState, MaintenanceWave } from '../../batch/state/records.js'
 import type { WorkerRegistry } from '../../workers/registry/index.js'
-import type { WorkerSession } from '../../workers/session/index.js'
 import type { MachineDrainer } from '../machineDrainer/index.js'
 import { findNextMachine, type WaitingMachine } from '../nextMachine/index.js'
 import type { MachineCalls, MachineStatus, MachineVerdict } from '../types.js'
@@ -116,9 +115,13 @@
       const service = this.#registry.liveSessionOn(machine)?.record.service
       if (service !== undefined) unavailable.set(service, (unavailable.get(service) ?? 0) + 1)
     }
+    if (drainingCount >= wave.cap) return
+    const waiting = this.#listWaiting(wave)
     while (drainingCount < wave.cap) {
-      const next = findNextMachine(this.#listWaiting(wave), unavailable)
+      const next = findNextMachine(waiting, unavailable)
       if (next === undefined) return
+      waiting.splice(waiting.indexOf(next), 1)
+      if (this.#isLastAvailable(next)) continue
       this.#draining.set(next.machine, wave.id)
       this.#drainer.begin(next.machine)
       this.#context.log.info('upkeep.emptying', { wave: wave.id, machine: next.machine, service: next.service, runs: next.runs })
@@ -132,7 +135,7 @@
     for (const [machine, state] of wave.machines) {
       if (state !== 'waiting' || this.#draining.has(machine)) continue
       const session = this.#registry.liveSessionOn(machine)
-      if (session === undefined || session.record.isDraining || this.#isLastAvailable(session)) continue
+      if (session === undefined || session.record.isDraining) continue
       waiting.push({ machine, service: session.record.service, runs: this.#context.state.runsOn(session.key).size })
     }
     return waiting
@@ -142,13 +145,12 @@
    * Whether no other worker of the service takes new tasks while the service has runs. The machine of such a worker is not
    * drained until another worker takes new tasks.
    */
-  #isLastAvailable (session: WorkerSession): boolean {
-    const { service } = session.record
+  #isLastAvailable ({ machine, service }: WaitingMachine): boolean {
     let hasRuns = false
     for (const other of this.#registry.sessionsOf(service)) {
       if (!other.isLive) continue
       if (this.#context.state.runsOn(other.key).size > 0) hasRuns = true
-      if (other !== session && !other.record.isDraining && !this.#drainer.isCordoned(other)) return false
+      if (other.record.machine !== machine && !other.record.isDraining && !this.#drainer.isCordoned(other)) return false
     }
     return hasRuns
   }
