Begin elections an election timeout after the last contact, and don't wait for lost members

The election loop slept a whole timeout from whenever it had last looked, so that a lost leader was noticed up to two timeouts late; a round of pre-votes that two lost members left undecided (one of the others had heard the leader last and refused) waited for their calls to time out, 500 ms; and after a restart the timeout began when the log was recovered, 0.3 s after the start of the process.

--- a/src/clock/index.ts
+++ b/src/clock/index.ts
@@ -3,6 +3,9 @@
 /** A duration or a reading of a clock, in milliseconds. */
 export type Millis = number
 
+/** Reading of {@link SystemClock} at the start of the process. */
+export const PROCESS_STARTED_AT: Millis = 0
+
 /** Source of time: {@link SystemClock} in production, {@link ManualClock} in unit tests. */
 export interface Clock {
   /** Returns a monotonic reading in milliseconds; only differences between readings are meaningful. */
--- a/src/consensus/election/index.ts
+++ b/src/consensus/election/index.ts
@@ -14,6 +14,8 @@
   readonly random: () => number
   /** Called once this member has won an election. */
   readonly onElected: () => void
+  /** Reports the failure of work that nothing waits for. */
+  readonly reportFailure: (work: Promise<unknown>) => void
 }
 
 /** Starts the elections of one member and answers the vote requests of others. */
@@ -36,8 +38,9 @@
     while (!signal.aborted) {
       const jitterMs = random() * (timings.electionMaxMs - timings.electionMinMs)
       const timeoutMs = timings.electionMinMs + jitterMs
+      const remainingMs = Math.min(timeoutMs, state.lastLeaderContactAt + timeoutMs - clock.now())
       // After a lost election, waits only for the jitter: there is still no leader, and other candidates wait no longer.
-      await clock.sleep(hasLost ? jitterMs : timeoutMs, signal)
+      await clock.sleep(hasLost || remainingMs <= 0 ? jitterMs : remainingMs, signal)
       hasLost = false
       if (signal.aborted) return
       if (state.role === 'leader' || !state.isVoter) continue
@@ -88,11 +91,17 @@
 
   /** Runs a pre-vote, and the election itself if a quorum would grant its votes. */
   async #startElection (): Promise<void> {
-    const { state } = this.#deps
+    const { clock, state, timings, reportFailure } = this.#deps
     const termBefore = state.term
-    if (!await this.#requestVotes(termBefore + 1, true)) return
-    if (state.term !== termBefore || this.#hasRecentLeader()) return
-    await this.#runElection(termBefore + 1)
+    let isDecided = false
+    const election = this.#requestVotes(termBefore + 1, true).then(async (isGranted) => {
+      isDecided = true
+      if (isGranted && state.term === termBefore && state.role !== 'leader' && !this.#hasRecentLeader()) await this.#runElection(termBefore + 1)
+    })
+    reportFailure(election)
+    // Lost members leave a round undecided until their calls time out, although the others may grant the next one.
+    await Promise.race([election, clock.sleep(timings.heartbeatMs)])
+    if (isDecided) await election
   }
 
   async #runElection (term: number): Promise<void> {
--- a/src/consensus/replica/deps.ts
+++ b/src/consensus/replica/deps.ts
@@ -1,5 +1,5 @@
 /** Dependencies of a member of the replicated log. */
-import type { Clock } from '../../clock/index.js'
+import type { Clock, Millis } from '../../clock/index.js'
 import type { CompactionLimits, ConsensusTimings, PeerTransport, StateMachine, Store } from '../types.js'
 
 /** Dependencies of {@link Replica}. */
@@ -10,6 +10,11 @@
   readonly machine: StateMachine
   readonly transport: PeerTransport
   readonly clock: Clock
+  /**
+   * Clock reading at the start of the process, which can have confirmed a leader right before. This member grants no pre-vote for an
+   * election timeout after it. The start of the replica when omitted.
+   */
+  readonly startedAt?: Millis
   readonly timings: ConsensusTimings
   readonly compaction: CompactionLimits
   /** Returns a number in [0, 1). */
--- a/src/consensus/replica/index.ts
+++ b/src/consensus/replica/index.ts
@@ -38,7 +38,7 @@
     this.#changed = new Notifier(deps.clock)
     this.#state = new ReplicaState(deps.id, deps.address, deps.store, deps.clock)
     this.#state.onChange = () => { this.#onStateChange() }
-    this.#election = new Election({ ...deps, state: this.#state, onElected: () => { this.#onElected() } })
+    this.#election = new Election({ ...deps, state: this.#state, onElected: () => { this.#onElected() }, reportFailure: (work) => { this.#reportFailure(work) } })
     this.#leaderMessageHandler = new LeaderMessageHandler(this.#state, deps.clock, (snapshot) => this.#installSnapshot(snapshot))
   }
 
@@ -93,7 +93,7 @@
     if (recovered.snapshot !== null) this.#deps.machine.restore(recovered.snapshot.data)
     this.#state.load(recovered)
     this.#lastApplied = this.#state.log.baseIndex
-    this.#state.lastLeaderContactAt = this.#deps.clock.now()
+    this.#state.lastLeaderContactAt = this.#deps.startedAt ?? this.#deps.clock.now()
     this.#reportFailure(this.#election.run(this.#stop.signal))
     this.#reportFailure(this.#watchQuorum())
     return recovered.tornBytes
