Move machines as fast as the platform accepts, and let no list of machines hold moves up

A new leader waited 0.4 s and then for the platform's list, 0.9 s in all, before its first move.

Change: OrderBudget allows 85 % of the rate in the settings (machineOrdersPerSecond); the list is read beside the moves; the first cycle begins as soon as every worker has answered or failed its first poll.

--- a/integration/jobs/deployment.ts
+++ b/integration/jobs/deployment.ts
@@ -87,7 +87,7 @@
   startControl (index: number, isFirstStart: boolean): void {
     const host = CONTROL_HOSTS[index] as string
     const path = join(this.#folder, `control-${index}.json`)
-    writeFileSync(path, JSON.stringify({ node: `control-${index}`, zone: 'a', internalAddress: `${host}:${INTERNAL_PORT}`, internalPort: INTERNAL_PORT, controlAddress: `${host}:${CONTROL_PORT}`, metricsAddress: `${host}:${CONTROL_PORT + 10}`, seeds: this.controlAddresses, dataFolder: join(this.#folder, `data-${index}`), isFirstStart, advisorAddress: '', machinesAddress: MACHINES_ADDRESS, retentionSeconds: 120 }))
+    writeFileSync(path, JSON.stringify({ node: `control-${index}`, zone: 'a', internalAddress: `${host}:${INTERNAL_PORT}`, internalPort: INTERNAL_PORT, controlAddress: `${host}:${CONTROL_PORT}`, metricsAddress: `${host}:${CONTROL_PORT + 10}`, seeds: this.controlAddresses, dataFolder: join(this.#folder, `data-${index}`), isFirstStart, advisorAddress: '', machinesAddress: MACHINES_ADDRESS, machineOrdersPerSecond: 64, retentionSeconds: 120 }))
     this.#processes.set(`control-${index}`, new LoggedProcess('target/platform-control.mjs', path))
   }
 
--- a/src/batch/explainBatch/index.ts
+++ b/src/batch/explainBatch/index.ts
@@ -87,7 +87,7 @@
   const session = sessions.find(({ key }) => key === worker)
   if (session === undefined) return 'the worker is unknown'
   if (session.goneReason !== null) return `the worker is gone, ${session.goneReason}`
-  if (!session.isLive) return `the worker has not answered for ${Math.round(session.unresponsiveMs)} ms, and the leader waits for its lease to expire`
+  if (!session.isLive) return `the worker has not answered for ${Math.round(session.contact.unresponsiveMs)} ms, and the leader waits for its lease to expire`
   const order = session.orders.get(task)
   return order === undefined ? 'the worker has not reported on it yet' : `${order.phase}, ${Math.max(0, order.percent)} % done${order.isStopRequested ? ', stop requested' : ''}`
 }
@@ -104,7 +104,7 @@
   return found.flatMap((session) => {
     const { record } = session
     const runs = context.state.runsOn(session.key)
-    const phase = session.goneReason !== null ? `gone: ${session.goneReason}` : session.isLive ? 'responsive' : `unresponsive for ${Math.round(session.unresponsiveMs)} ms`
+    const phase = session.goneReason !== null ? `gone: ${session.goneReason}` : session.isLive ? 'responsive' : `unresponsive for ${Math.round(session.contact.unresponsiveMs)} ms`
     return [
       `Worker ${session.key} on machine ${record.machine}, service ${record.service}, availability zone ${record.zone}, is ${phase}${record.isDraining ? ', and draining' : ''}.`,
       context.relayOf(session.key) === null ? 'The leader calls it directly.' : `The leader calls it through ${context.relayOf(session.key)}.`,
--- a/src/batch/explainBatch/test.ts
+++ b/src/batch/explainBatch/test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { createConfig, createJob, createQueue, createStep, createWorker } from '../fixtures/index.js'
 import { BatchState } from '../state/index.js'
+import { RunOrders } from '../../workers/runOrder/index.js'
 import type { WorkerSession } from '../../workers/session/index.js'
 import { explainBatch, type BatchExplainContext } from './index.js'
 
@@ -15,7 +16,7 @@
 }
 
 function createSession (changes: Partial<WorkerSession> = {}): Partial<WorkerSession> {
-  return { key: 'w@1', record: createWorker('w'), isLive: true, goneReason: null, orders: new Map(), consecutiveRefusals: 0, unresponsiveMs: 10, ...changes } as Partial<WorkerSession>
+  return { key: 'w@1', record: createWorker('w'), isLive: true, goneReason: null, orders: new RunOrders(), consecutiveRefusals: 0, contact: { unresponsiveMs: 10 }, ...changes } as Partial<WorkerSession>
 }
 
 describe('explainBatch', () => {
@@ -36,7 +37,7 @@
   })
 
   it('names the worker of a run and tells that it is unresponsive', () => {
-    const context = createContext([createSession({ isLive: false, unresponsiveMs: 1800 } as Partial<WorkerSession>)])
+    const context = createContext([createSession({ isLive: false, contact: { unresponsiveMs: 1800 } } as Partial<WorkerSession>)])
     context.state.apply(4, { type: 'place', at: 2000, placements: [{ task: `${ID}.0.0.0`, run: 1, worker: 'w@1' }] })
     expect(explainBatch(context, 'task', `${ID}.0.0.0`)[1]).to.equal('Run 1 was placed on w@1 1.5 s ago: the worker has not answered for 1800 ms, and the leader waits for its lease to expire.')
   })
--- a/src/batch/leader/index.ts
+++ b/src/batch/leader/index.ts
@@ -45,6 +45,8 @@
   /** Creates a client that calls a worker from this process. */
   readonly connect: ConnectWorkerAddress
   readonly machines: MachineCalls
+  /** Orders for machines that the platform accepts each second. */
+  readonly machineOrdersPerSecond: number
   readonly advisor: AdvisorCalls | null
   /** How long ended jobs stay visible to submitters, in milliseconds. */
   readonly retentionMs: number
@@ -100,7 +102,8 @@
       services: () => this.#scheduler.services(),
       standby: () => state.data.config?.services.find(({ isStandby }) => isStandby)?.name ?? null,
       demandOf: (service) => this.#scheduler.measureServiceDemand(service),
-      isInMaintenance: (machine) => maintenance.isInMaintenance(machine)
+      isInMaintenance: (machine) => maintenance.isInMaintenance(machine),
+      ordersPerSecond: deps.machineOrdersPerSecond
     })
     void this.#scheduler.run()
     void mover.run()
--- a/src/pools/mover/index.ts
+++ b/src/pools/mover/index.ts
@@ -3,20 +3,22 @@
 import type { TermContext } from '../../batch/leader/context.js'
 import { parseTask } from '../../batch/types.js'
 import type { MachineDrainer } from '../../maintenance/machineDrainer/index.js'
-import type { MachineCalls, MachineVerdict } from '../../maintenance/types.js'
+import type { MachineCalls, MachineStatus, MachineVerdict } from '../../maintenance/types.js'
 import type { WorkerRegistry } from '../../workers/registry/index.js'
 import type { WorkerSession } from '../../workers/session/index.js'
 import { machinesNeeded, type PoolDemand } from '../machinesNeeded/index.js'
+import { OrderBudget } from '../orderBudget/index.js'
 import { planMoves, type MoveDecision, type PoolState } from '../planMoves/index.js'
 
 const CYCLE_INTERVAL_MS: Millis = 120
 
 /**
- * Wait of a new leader before its first cycle. The workers in the state must have been polled, or, if the state has none,
+ * Longest wait of a new leader before its first cycle. The workers in the state must have been polled, or, if the state has none,
  * must have had time to report. Otherwise pools would seem short of machines that are merely not known yet.
  */
 const FIRST_POLLS_WAIT_MS: Millis = 400
 const FIRST_REPORTS_WAIT_MS: Millis = 1900
+const FIRST_POLLS_CHECK_MS: Millis = 20
 
 const ORDER_TIMEOUT_MS: Millis = 1500
 const LIST_TIMEOUT_MS: Millis = 2000
@@ -39,7 +41,11 @@
 
 const LOG_INTERVAL_MS: Millis = 1000
 
-const MAX_MOVES_PER_CYCLE = 12
+/** Share of the orders that the platform accepts that moves may use; maintenance needs the rest. */
+const MOVE_SHARE_OF_ORDERS = 0.85
+
+/** Moves that were not needed earlier may be made up for as long as this. */
+const MAX_UNUSED_MOVES_MS: Millis = 2 * CYCLE_INTERVAL_MS
 
 /** What the mover needs from the scheduler, the configuration and the maintenance runner. */
 export interface PoolSource {
@@ -50,6 +56,8 @@
   readonly demandOf: (service: string) => PoolDemand
   /** Whether a maintenance wave is draining a machine or has ordered its maintenance. */
   readonly isInMaintenance: (machine: string) => boolean
+  /** Orders for machines that the platform accepts each second. */
+  readonly ordersPerSecond: number
 }
 
 /** Moves machines between pools during one term. */
@@ -64,6 +72,8 @@
   readonly #moving = new Map<string, { readonly to: string, readonly until: Millis }>()
   /** Draining machines, each with its current pool. */
   readonly #draining = new Map<string, string>()
+  /** Machines whose move was ordered after the list was requested, which the list may show where they were. */
+  readonly #movedSinceListing = new Set<string>()
   readonly #refusedUntil = new Map<string, Millis>()
   /** Numbers of machines that each service needed within the last `MIN_SURPLUS_MS`, newest last. */
   readonly #needs = new Map<string, Array<{ readonly at: Millis, readonly need: number }>>()
@@ -72,6 +82,7 @@
   #sessionsByService: ReadonlyMap<string, WorkerSession[]> = new Map()
   #listedAt: Millis = Number.NEGATIVE_INFINITY
   #isListRequested = true
+  readonly #moveBudget: OrderBudget
   #loggedAt: Millis = Number.NEGATIVE_INFINITY
   /** Whether the platform has seen a later leader, so that this one orders no more moves. */
   #isFenced = false
@@ -89,18 +100,19 @@
     this.#machines = machines
     this.#drainer = drainer
     this.#source = source
+    this.#moveBudget = new OrderBudget(context.clock, source.ordersPerSecond * MOVE_SHARE_OF_ORDERS, MAX_UNUSED_MOVES_MS)
   }
 
   /** Runs cycles until the term ends. */
   async run (): Promise<void> {
     const { clock, signal, log, mayOrder } = this.#context
-    await clock.sleep(this.#context.state.data.workers.size === 0 ? FIRST_REPORTS_WAIT_MS : FIRST_POLLS_WAIT_MS, signal)
-    while (!signal.aborted && this.#registry.isContacting) await clock.sleep(CYCLE_INTERVAL_MS, signal)
+    void this.#refreshList()
+    await this.#waitForWorkers()
     while (!signal.aborted) {
       await clock.sleep(CYCLE_INTERVAL_MS, signal)
       if (signal.aborted || !mayOrder() || this.#isFenced || this.#context.state.data.config === null) continue
       try {
-        await this.#refreshList()
+        void this.#refreshList()
         this.#indexSessions()
         this.#recordArrivals()
         this.#moveDrained()
@@ -113,16 +125,40 @@
     }
   }
 
+  /** Waits until the workers of the state have been polled, or have had time to report. */
+  async #waitForWorkers (): Promise<void> {
+    const { clock, signal, state } = this.#context
+    if (state.data.workers.size === 0) {
+      await clock.sleep(FIRST_REPORTS_WAIT_MS, signal)
+      return
+    }
+    const beganAt = clock.now()
+    while (!signal.aborted && (this.#registry.hasWaitingFirstPolls || (this.#registry.hasUntriedWorker() && clock.now() - beganAt < FIRST_POLLS_WAIT_MS))) {
+      await clock.sleep(FIRST_POLLS_CHECK_MS, signal)
+    }
+  }
+
+  /** Reads the platform's list of machines when it is due. Moves go on meanwhile, since the platform may be slow. */
   async #refreshList (): Promise<void> {
     const { clock, log } = this.#context
     if (clock.now() - this.#listedAt < (this.#isListRequested ? MIN_LIST_INTERVAL_MS : LIST_INTERVAL_MS)) return
     this.#listedAt = clock.now()
-    const standby = this.#source.standby()
-    const list = await this.#machines.list(LIST_TIMEOUT_MS)
     this.#isListRequested = false
+    this.#movedSinceListing.clear()
+    try {
+      this.#readList(await this.#machines.list(LIST_TIMEOUT_MS))
+    } catch (err) {
+      log.warn('machines.unlisted', { reason: (err as Error).message })
+      this.#isListRequested = true
+    }
+  }
+
+  #readList (list: readonly MachineStatus[]): void {
+    const { clock, log } = this.#context
+    const standby = this.#source.standby()
     this.#poweredOff.clear()
     for (const { machine, service, state } of list) {
-      if (service === standby && state === 'up') this.#poweredOff.add(machine)
+      if (service === standby && state === 'up' && !this.#movedSinceListing.has(machine)) this.#poweredOff.add(machine)
       if (state === 'moving' && !this.#moving.has(machine)) this.#moving.set(machine, { to: service, until: clock.now() + MAX_MOVE_MS })
     }
     log.info('machines.listed', { machines: list.length, parked: this.#poweredOff.size })
@@ -220,9 +256,10 @@
   }
 
   #executeDecisions (decisions: readonly MoveDecision[]): void {
-    for (const decision of decisions.slice(0, MAX_MOVES_PER_CYCLE)) {
-      if (decision.kind === 'move') void this.#move(decision.machine, decision.to)
-      else {
+    for (const decision of decisions) {
+      if (decision.kind === 'move') {
+        if (this.#moveBudget.take()) void this.#move(decision.machine, decision.to)
+      } else {
         this.#draining.set(decision.machine, decision.from)
         this.#drainer.begin(decision.machine)
       }
@@ -239,6 +276,7 @@
     }
     this.#moving.set(machine, { to, until: clock.now() + MAX_MOVE_MS })
     this.#poweredOff.delete(machine)
+    this.#movedSinceListing.add(machine)
     try {
       if (!mayOrder()) return
       const verdict = await this.#machines.move(machine, to, { holder, token: term }, ORDER_TIMEOUT_MS)
--- a/src/pools/mover/test.ts
+++ b/src/pools/mover/test.ts
@@ -10,6 +10,7 @@
 import { PoolMover } from './index.js'
 
 const STANDBY = 'off'
+const ORDERS_PER_SECOND = 300
 const IDLE: PoolDemand = { work: [], arrivalRate: 0, longRunningLoad: 0, longRunningSpread: 0, isStarved: false }
 
 /** A mover over a fleet whose workers run nothing. `looks` counts how often the mover asks whether a worker is live. */
@@ -44,12 +45,13 @@
     startMaintenance: () => Promise.resolve('accepted')
   }
   const drainer = { begin: () => {}, end: () => {}, isEmpty: () => true, advance: () => true } as unknown as MachineDrainer
-  const registry = { sessions, markMachineGone: () => {} } as unknown as WorkerRegistry
+  const registry = { sessions, markMachineGone: () => {}, hasWaitingFirstPolls: false, hasUntriedWorker: () => false } as unknown as WorkerRegistry
   const mover = new PoolMover(context, registry, calls, drainer, {
     services: () => new Set(Object.keys(demands)),
     standby: () => STANDBY,
     demandOf: (service) => demands[service] ?? IDLE,
-    isInMaintenance: () => false
+    isInMaintenance: () => false,
+    ordersPerSecond: ORDERS_PER_SECOND
   })
   void mover.run()
   return { clock, counts, moves, sessions, end }
@@ -67,6 +69,16 @@
     expect(moves.sort()).to.deep.equal(['p3 to booth', 'p4 to booth'])
   })
 
+  // Pools of hundreds of machines followed their demand with 100 moves a second, however many the platform accepts.
+  it('moves as many machines a second to a pool that is short as the platform accepts, and no more', async () => {
+    const { clock, moves, end } = createHarness([...createMachines('a', 2, 'booth'), ...createMachines('p', 900, STANDBY)], { booth: { ...IDLE, arrivalRate: 700 } })
+    await clock.advance(1000)
+    const before = moves.length
+    await clock.advance(500)
+    end.abort()
+    expect(moves.length - before).to.be.within(ORDERS_PER_SECOND * 0.5 * 0.75, ORDERS_PER_SECOND * 0.5)
+  })
+
   it('looks at each worker once a cycle, however many machines are moving', async () => {
     const { clock, counts, sessions, end } = createHarness([...createMachines('a', 200, 'booth'), ...createMachines('m', 150, 'booth', 'moving')], { booth: { ...IDLE, arrivalRate: 300 }, line: IDLE })
     await clock.advance(600)
--- a/src/workers/contact/index.ts
+++ b/src/workers/contact/index.ts
@@ -20,11 +20,21 @@
     return this.#consecutiveFailures
   }
 
+  /** Time since the last answer, in milliseconds; infinite before the first one. */
+  get unresponsiveMs (): Millis {
+    return this.#clock.now() - this.#answeredAt
+  }
+
   /** Clock reading of the last answer; minus infinity before the first one. */
   get answeredAt (): Millis {
     return this.#answeredAt
   }
 
+  /** Whether no long poll was answered or has failed yet. */
+  get isUntried (): boolean {
+    return this.#answeredAt === Number.NEGATIVE_INFINITY && this.#consecutiveFailures === 0
+  }
+
   /** Whether the worker has answered recently. */
   get isResponsive (): boolean {
     return this.#clock.now() - this.#answeredAt < this.#unresponsiveAfterMs
--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -68,11 +68,17 @@
     return this.#sessions.values()
   }
 
-  /** Whether some workers have not been polled for the first time yet. */
-  get isContacting (): boolean {
+  /** Whether first polls of workers wait until others are answered. */
+  get hasWaitingFirstPolls (): boolean {
     return this.#pollGate.hasWaitingFirstPolls
   }
 
+  /** Returns whether a worker has neither answered a poll nor failed to. */
+  hasUntriedWorker (): boolean {
+    for (const session of this.#sessions.values()) if (session.contact.isUntried) return true
+    return false
+  }
+
   /**
    * Lists the sessions with the workers of a service.
    *
@@ -229,7 +235,7 @@
     const keys: string[] = []
     for (const [key, session] of this.#sessions) {
       if (this.#context.state.runsOn(key).size > 0) continue
-      if (session.goneReason !== null || (session.isLeaseExpired && session.unresponsiveMs > FORGET_AFTER_MS)) keys.push(key)
+      if (session.goneReason !== null || (session.isLeaseExpired && session.contact.unresponsiveMs > FORGET_AFTER_MS)) keys.push(key)
     }
     return keys
   }
--- a/src/workers/registry/test.ts
+++ b/src/workers/registry/test.ts
@@ -58,11 +58,11 @@
   // On a fleet of 3,000 workers the polls of all of them at once kept each new term from lasting a second.
   it('limits the polls in flight when a term begins on a fleet of thousands (sweep at 301 machines)', async () => {
     const { clock, registry, maxImmediateInFlight, polls, stop } = createHarness(3000)
-    expect(registry.isContacting).to.equal(true)
+    expect(registry.hasWaitingFirstPolls).to.equal(true)
     await clock.advance(1000)
     expect(maxImmediateInFlight()).to.be.at.most(CALLERS * IMMEDIATE_POLLS_PER_CALLER)
     expect(new Set(polls.map(({ id }) => id)).size).to.equal(3000)
-    expect(registry.isContacting).to.equal(false)
+    expect(registry.hasWaitingFirstPolls).to.equal(false)
     stop()
   })
 
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -25,6 +25,8 @@
   /** Clock reading of the last refusal of that kind. */
   lastRefusedAt: Millis = Number.NEGATIVE_INFINITY
   record: WorkerRecord
+  /** Whether the worker answers its long polls. */
+  readonly contact: WorkerContact
   readonly #calls: WorkerCalls
   readonly #context: WorkerSessionContext
   readonly #lease: LeaseClock
@@ -33,7 +35,6 @@
   readonly #startQueue: StartQueue
   #isEnded = false
   #goneAt: Millis = Number.POSITIVE_INFINITY
-  readonly #contact: WorkerContact
   #runEnds: RunEnd[] = []
   /** Highest sequence number of the run ends that the worker has listed. */
   #listedSeq = 0
@@ -50,7 +51,7 @@
     this.record = record
     this.#calls = calls
     this.#context = context
-    this.#contact = new WorkerContact(context.clock)
+    this.contact = new WorkerContact(context.clock)
     this.#lease = new LeaseClock(LEASE_MS, context.clock.now())
     this.#wakeNotifier = new Notifier(context.clock)
     this.#startQueue = new StartQueue(MAX_CONCURRENT_STARTS, (task, run) => context.isRunNeeded(task, run) && this.orders.get(task)?.isStopRequested !== true)
@@ -58,7 +59,7 @@
 
   /** Whether the worker has answered recently, so that it may be given work. */
   get isLive (): boolean {
-    return this.goneReason === null && this.#contact.isResponsive
+    return this.goneReason === null && this.contact.isResponsive
   }
 
   /** Whether no run that was ever started in this incarnation can still be running. */
@@ -88,11 +89,6 @@
     }
   }
 
-  /** Time since the last contact, in milliseconds. */
-  get unresponsiveMs (): Millis {
-    return this.#context.clock.now() - this.#contact.answeredAt
-  }
-
   /** Removes and returns the run ends to commit, and the sequence number to acknowledge once they are committed. */
   takeRunEnds (): { readonly ends: readonly RunEnd[], readonly listedSeq: number } {
     const ends = this.#runEnds
@@ -137,12 +133,12 @@
         if (this.#isEnded || !this.#context.mayOrder()) continue
         await this.#pollOnce()
       } catch (err) {
-        this.#contact.recordFailure()
-        if (this.#contact.consecutiveFailures === 1 && !this.#isEnded) this.#context.log.info('worker.silent', { worker: this.key, service: this.record.service, reason: (err as Error).message })
+        this.contact.recordFailure()
+        if (this.contact.consecutiveFailures === 1 && !this.#isEnded) this.#context.log.info('worker.silent', { worker: this.key, service: this.record.service, reason: (err as Error).message })
       } finally {
         leaveGate?.()
       }
-      if (this.#contact.consecutiveFailures > 0) await this.#pause(this.#contact.retryDelayMs)
+      if (this.contact.consecutiveFailures > 0) await this.#pause(this.contact.retryDelayMs)
       // The worker answers at once while it has unacknowledged run ends, so wait until these are committed.
       else if (this.#listedSeq > this.#acknowledgedSeq) await this.#pause(MAX_COMMIT_WAIT_MS)
     }
@@ -155,7 +151,7 @@
 
   /** Waits for the turn of a poll that the worker answers at once. */
   async #enterGate (): Promise<LeaveGate | null> {
-    const hasFailed = this.#contact.consecutiveFailures > 0
+    const hasFailed = this.contact.consecutiveFailures > 0
     if (this.#lease.isKnown && !hasFailed) return null
     if (hasFailed) return await this.#context.pollGate.enter('retry')
     return await this.#context.pollGate.enter(this.#context.runsOn(this.key).size > 0 ? 'withRuns' : 'idle')
@@ -275,9 +271,9 @@
     metrics.count('oleanderward_worker_polls')
     const isFirst = !this.#lease.isKnown
     // Don't renew the lease of an unresponsive worker: each attempt may arrive and would postpone its expiry.
-    const leaseEndMs = isFirst || this.#contact.consecutiveFailures > 0 ? null : this.#lease.grant(sentAt, LEASE_MS)
+    const leaseEndMs = isFirst || this.contact.consecutiveFailures > 0 ? null : this.#lease.grant(sentAt, LEASE_MS)
     const waitMs = leaseEndMs === null ? 0 : this.#isIdle ? this.#context.idlePollWaitMs() : POLL_WAIT_MS
-    this.#contact.recordPoll(waitMs)
+    this.contact.recordPoll(waitMs)
     const answer = await this.#calls.poll({ token, acknowledgedSeq: this.#acknowledgedSeq, leaseEndMs, waitMs }, waitMs + POLL_TIMEOUT_MS)
     if (answer.refusal === 'wrongWorker') {
       this.markGone('another worker answers at its address')
@@ -290,8 +286,8 @@
       return
     }
     const wasLive = this.isLive
-    this.#contact.recordAnswer()
-    this.#lease.observe(answer.clockMs, this.#contact.answeredAt)
+    this.contact.recordAnswer()
+    this.#lease.observe(answer.clockMs, this.contact.answeredAt)
     this.#reconcileRuns(answer.running, answer.ended, sentAt)
     if (!wasLive) this.#context.onChange()
   }
