Give processes of the harness ports that no connection can take

Cause: findFreePort bound port 0, which is in the kernel's range of source ports, and closed it: until the process listened, any connection could take it.

Change: ports from 20,000 to 31,999, none twice, each checked by binding it.

--- a/bench/harness/processes.ts
+++ b/bench/harness/processes.ts
@@ -1,7 +1,7 @@
 /** Starts the product's processes for tests, demo and bench, and reads their resource usage. */
 import { spawn, type ChildProcess } from 'node:child_process'
 import { readFileSync } from 'node:fs'
-import { createServer, type AddressInfo } from 'node:net'
+import { createServer } from 'node:net'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 
@@ -132,11 +132,35 @@
   })
 }
 
-/** Returns a loopback port that is currently free. */
+/** Ports below the range from which the kernel takes the source ports of connections (32768 to 60999 by default). */
+const FIRST_PORT = 20_000
+const LAST_PORT = 31_999
+
+/** Each process begins elsewhere, so that harnesses that run side by side rarely try the same ports. */
+let nextPort = FIRST_PORT + (process.pid * 97) % (LAST_PORT - FIRST_PORT + 1)
+
+/**
+ * Returns a loopback port that is free and that no connection takes as its source port before a process listens on it. Returns no port
+ * twice until all have been used.
+ *
+ * @throws Error when none is free
+ */
 export async function findFreePort (): Promise<number> {
-  const server = createServer()
-  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
-  const { port } = server.address() as AddressInfo
-  await new Promise<void>((resolve) => { server.close(() => { resolve() }) })
-  return port
+  for (let tried = FIRST_PORT; tried <= LAST_PORT; tried++) {
+    const port = nextPort
+    nextPort = port === LAST_PORT ? FIRST_PORT : port + 1
+    if (await isFree(port)) return port
+  }
+  throw new Error(`no loopback port from ${FIRST_PORT} to ${LAST_PORT} is free`)
+}
+
+function isFree (port: number): Promise<boolean> {
+  return new Promise((resolve, reject) => {
+    const server = createServer()
+    server.once('error', (err: NodeJS.ErrnoException) => {
+      if (err.code === 'EADDRINUSE') resolve(false)
+      else reject(err)
+    })
+    server.listen(port, '127.0.0.1', () => { server.close(() => { resolve(true) }) })
+  })
 }
