--- a/integration/soak/oracle/index.ts
+++ b/integration/soak/oracle/index.ts
@@ -16,6 +16,8 @@
   outcome: JobOutcome
   /** When the cancellation was acknowledged, in milliseconds since the Unix epoch; infinite while it was not. */
   cancelledAt: number
+  /** Status of the answer to the cancellation, 0 when there was none, null when none was requested. */
+  cancelStatus: number | null
   /** Number of starts of the job's tasks on any worker. */
   startCount: number
 }
@@ -39,7 +41,7 @@
    * @param tasks - number of tasks in its first step
    */
   expectJob (id: string, tasks: number): void {
-    this.#jobs.set(id, { tasks, outcome: 'unknown', cancelledAt: Number.POSITIVE_INFINITY, startCount: 0 })
+    this.#jobs.set(id, { tasks, outcome: 'unknown', cancelledAt: Number.POSITIVE_INFINITY, cancelStatus: null, startCount: 0 })
   }
 
   /**
@@ -56,13 +58,27 @@
   }
 
   /**
-   * Records that the cancellation of a job was acknowledged.
+   * Records the answer to the cancellation of a job.
    *
    * @param id - id of the job
+   * @param status - status of the answer, or 0 when there was none; 200 acknowledges the cancellation
    */
-  cancel (id: string): void {
+  recordCancellation (id: string, status: number): void {
     const job = this.#jobs.get(id)
-    if (job !== undefined) job.cancelledAt = Date.now()
+    if (job === undefined) return
+    job.cancelStatus = status
+    if (status === 200) job.cancelledAt = Date.now()
+  }
+
+  /**
+   * Describes whether the cancellation of a job was requested and answered.
+   *
+   * @param id - id of the job
+   */
+  describeCancellation (id: string): string {
+    const status = this.#jobs.get(id)?.cancelStatus ?? null
+    if (status === null) return 'not requested'
+    return status === 0 ? 'not answered' : `answered with ${status}`
   }
 
   /**
--- a/integration/soak/run.ts
+++ b/integration/soak/run.ts
@@ -90,7 +90,7 @@
     if (attempt === MAX_ATTEMPTS - 1) oracle.settle(id, isRefusalCertain ? 'refused' : 'unknown')
     else await pause(JOB_PAUSE_MS * (attempt + 1))
   }
-  if (shouldCancel && await requestStatus(deployment, 'DELETE', id) === 200) oracle.cancel(id)
+  if (shouldCancel) oracle.recordCancellation(id, await requestStatus(deployment, 'DELETE', id))
 }
 
 /** Sends a request and returns the status of the answer, or 0 if there was none. */
@@ -114,7 +114,7 @@
       })
       oracle.show(id, state)
     } catch {
-      oracle.violations.push(`job ${id} was accepted, but its state is "${String(state)}" a minute after the last fault`)
+      oracle.violations.push(`job ${id} was accepted, but its state is "${String(state)}" a minute after the last fault; its cancellation was ${oracle.describeCancellation(id)}`)
     }
   }
 }
