A load player that compares orders and pool rules on the product's own decision code

Change: npm run policies (bench/policies): jobs that surge in turn, seeded; the product's modules order, place, size and move; a table, JSON and an SVG plot. Tests of it in integration/policies.

--- /dev/null
+++ b/bench/policies/player.ts
@@ -0,0 +1,214 @@
+/** Plays a load against the decision code of the product, without a network and without processes. */
+import { hasStartable, listStartable } from '../../src/batch/candidates/index.js'
+import { createConfig, createQueue, createWorker } from '../../src/batch/fixtures/index.js'
+import { Random } from '../../src/batch/fuzz/random.js'
+import { countCores, forecastJob } from '../../src/batch/jobObjective/index.js'
+import { computeLoad, measureDemand, type MeasuredJob } from '../../src/batch/measureDemand/index.js'
+import { planStarts, type StartGroup } from '../../src/batch/planStarts/index.js'
+import { createPoolWorker } from '../../src/batch/poolWorker/index.js'
+import { RunStats } from '../../src/batch/runStats/index.js'
+import { queueKey } from '../../src/batch/state/handlers.js'
+import { BatchState } from '../../src/batch/state/index.js'
+import type { BatchCommand, JobRecord, Placement, RunEnd } from '../../src/batch/state/records.js'
+import { parseTask, type Queue, type TaskPosition } from '../../src/batch/types.js'
+import { ManualClock, type Millis } from '../../src/clock/index.js'
+import { ArrivalMeter } from '../../src/pools/arrivalMeter/index.js'
+import type { PoolDemand } from '../../src/pools/machinesNeeded/index.js'
+import type { WorkerSession } from '../../src/workers/session/index.js'
+import { MachinePools, STANDBY } from './pools.js'
+import { ORDERS, type Policy } from './policies.js'
+import type { Arrival, Workload } from './workload.js'
+
+const TICK_MS: Millis = 20
+const POOL_CYCLE_MS: Millis = 120
+const SAMPLE_INTERVAL_MS: Millis = 200
+
+/** A caller's job is late up to this many times its objective. */
+const LATE_FACTOR = 3
+
+/** What became of one job. */
+export interface PlayedJob {
+  readonly class: string
+  /** `inAim`: done within the objective; `late`: within three times of it; `lost`: later, or not done at the end. */
+  readonly outcome: 'inAim' | 'late' | 'lost'
+  /** Time until its first task started, or null when none did. */
+  readonly waitMs: Millis | null
+}
+
+/** State of the fleet at one moment. */
+export interface Sample {
+  readonly at: Millis
+  /** Jobs that have not ended, tasks that run, and machines in pools. */
+  readonly jobs: number
+  readonly runs: number
+  readonly machines: number
+}
+
+/** Result of one play. */
+export interface PlayResult {
+  readonly policy: Policy
+  readonly jobs: readonly PlayedJob[]
+  readonly samples: readonly Sample[]
+  readonly machineSeconds: number
+  readonly moves: number
+}
+
+interface Run {
+  readonly task: string
+  readonly run: number
+  readonly worker: string
+  readonly endsAt: Millis
+  readonly outcome: RunEnd['outcome']
+}
+
+/** Plays one load under one policy. */
+export class LoadPlayer {
+  readonly #clock = new ManualClock(0)
+  readonly #state = new BatchState()
+  readonly #stats = new RunStats()
+  readonly #random: Random
+  readonly #workload: Workload
+  readonly #policy: Policy
+  readonly #pools: MachinePools
+  readonly #queues: ReadonlyMap<string, Queue>
+  readonly #arrivals = new Map<string, Arrival>()
+  readonly #meters = new Map<string, ArrivalMeter>()
+  readonly #firstStarts = new Map<string, Millis>()
+  #runs: Run[] = []
+  #index = 0
+
+  /**
+   * @param workload - the fleet
+   * @param policy - how jobs are ordered and pools sized
+   * @param seed - seed of the failures
+   */
+  constructor (workload: Workload, policy: Policy, seed: number) {
+    this.#workload = workload
+    this.#policy = policy
+    this.#random = new Random(seed)
+    const queues = workload.classes.map(({ name, service, priority }) => createQueue({ name, prefix: `/${name}/`, service, priority, maxAttempts: 20 }))
+    this.#queues = new Map(queues.map((queue) => [queueKey(queue), queue]))
+    this.#apply({ type: 'configure', at: 0, config: createConfig(1, queues) })
+    this.#pools = new MachinePools(this.#clock, workload.machines, workload.standbyMachines, workload.ordersPerSecond, ({ name }) => this.#state.runsOn(workerOf(name)).size)
+    const room = { cpu: workload.cpu, memory: workload.memory, accelerators: 0 }
+    this.#apply({ type: 'enrol', at: 0, workers: this.#pools.machines.map(({ name, service }) => createWorker(name, { service, room })) })
+  }
+
+  /**
+   * Plays the load.
+   *
+   * @param arrivals - jobs, by time
+   * @param lengthMs - time to play
+   */
+  async play (arrivals: readonly Arrival[], lengthMs: Millis): Promise<PlayResult> {
+    const samples: Sample[] = []
+    let next = 0
+    for (let at = 0; at < lengthMs; at += TICK_MS) {
+      this.#endRuns(at)
+      while (next < arrivals.length && (arrivals[next] as Arrival).at <= at) this.#accept(arrivals[next++] as Arrival)
+      this.#startTasks(at)
+      if (this.#policy.pools === 'chosen' && at % POOL_CYCLE_MS === 0) this.#pools.follow((service) => this.#measure(service, at))
+      if (at % SAMPLE_INTERVAL_MS === 0) samples.push({ at, jobs: this.#state.activeJobs.size, runs: this.#runs.length, machines: this.#pools.machines.filter(({ service }) => service !== STANDBY).length })
+      this.#pools.charge(TICK_MS)
+      await this.#clock.advance(TICK_MS)
+    }
+    return { policy: this.#policy, jobs: arrivals.map((arrival) => this.#judge(arrival)), samples, machineSeconds: this.#pools.machineMs / 1000, moves: this.#pools.moves }
+  }
+
+  #endRuns (at: Millis): void {
+    const ended = this.#runs.filter(({ endsAt }) => endsAt <= at)
+    if (ended.length === 0) return
+    this.#runs = this.#runs.filter(({ endsAt }) => endsAt > at)
+    for (const { task, worker, outcome } of ended) {
+      const position = parseTask(task) as TaskPosition
+      const job = this.#state.data.jobs.get(position.job) as JobRecord
+      const active = this.#state.runsOn(worker).get(task)
+      if (outcome === 'done' && active !== undefined) this.#stats.observeCompletedRun(job.queue, worker, job.steps[position.step]?.estimateMs ?? 0, at - active.placedAt)
+      else this.#stats.observeFailedRun(worker, at)
+    }
+    this.#apply({ type: 'end', at, ends: ended.map(({ task, run, worker, outcome }): RunEnd => ({ task, run, worker, outcome, checkpoint: '' })) })
+  }
+
+  #accept (arrival: Arrival): void {
+    const [key] = [...this.#queues].find(([, { name }]) => name === arrival.class.name) as [string, Queue]
+    const { service } = arrival.class
+    this.#arrivals.set(arrival.id, arrival)
+    this.#apply({ type: 'accept', at: arrival.at, jobs: [{ id: arrival.id, payload: '', steps: arrival.steps, repeatCount: 0, startAt: 0, intervalMs: 0, queue: key, service }] })
+    const correction = this.#stats.getEstimateCorrection(key)
+    this.#stats.observeJob(key, arrival.steps.reduce((sum, step) => sum + step.count * step.estimateMs * correction * countCores(step), 0))
+    const meter = this.#meters.get(service) ?? new ArrivalMeter()
+    this.#meters.set(service, meter)
+    meter.add(computeLoad(this.#state.data.jobs.get(arrival.id) as JobRecord, this.#capacity, correction), arrival.at)
+  }
+
+  #startTasks (at: Millis): void {
+    const placements: Placement[] = []
+    for (const service of Object.keys(this.#workload.machines)) {
+      const waiting = this.#jobsOf(service).filter((job) => hasStartable(job, at))
+      if (waiting.length === 0) continue
+      const workers = this.#pools.availableFor(service).map(({ name }) => {
+        const key = workerOf(name)
+        const session = { key, record: this.#state.data.workers.get(key) } as unknown as WorkerSession
+        return createPoolWorker(session, this.#state, { startsLeft: this.#stats.countAllowedStarts(key, at, this.#state.runsOn(key).size), slowdown: this.#stats.getSlowdown(key) })
+      })
+      for (const { task, worker } of planStarts(workers, listGroups(ORDERS[this.#policy.order](this.#describe(waiting), at), at))) {
+        const { job, step, index } = parseTask(task) as TaskPosition
+        const record = this.#state.data.jobs.get(job)?.occurrences.get(0)?.[step]?.tasks[index]
+        placements.push({ task, worker, run: (record?.lastRun ?? 0) + 1 })
+      }
+    }
+    if (placements.length === 0) return
+    this.#apply({ type: 'place', at, placements })
+    for (const placement of placements) this.#begin(placement, at)
+  }
+
+  #begin ({ task, run, worker }: Placement, at: Millis): void {
+    const { job, step, index } = parseTask(task) as TaskPosition
+    const tookMs = this.#arrivals.get(job)?.taskMs[step]?.[index] ?? 0
+    this.#runs.push({ task, run, worker, endsAt: at + tookMs, outcome: this.#random.next() < this.#workload.failureShare ? 'failed' : 'done' })
+    if (!this.#firstStarts.has(job)) this.#firstStarts.set(job, at)
+  }
+
+  #measure (service: string, at: Millis): PoolDemand {
+    return { ...measureDemand(this.#describe(this.#jobsOf(service)), this.#capacity, this.#meters.get(service)?.rate(at) ?? 0, at), isStarved: false }
+  }
+
+  #jobsOf (service: string): JobRecord[] {
+    return [...this.#state.activeJobs.values()].filter((job) => job.service === service)
+  }
+
+  #describe (jobs: readonly JobRecord[]): MeasuredJob[] {
+    return jobs.map((job) => {
+      const queue = this.#queues.get(job.queue)
+      const estimateCorrection = this.#stats.getEstimateCorrection(job.queue)
+      return { job, id: job.id, estimateCorrection, priority: queue?.priority ?? 0, isLasting: false, acceptedAt: job.acceptedAt, forecast: forecastJob(job, job.occurrences.get(0) ?? null, queue, estimateCorrection), meanWork: this.#stats.getMeanWork(job.queue) }
+    })
+  }
+
+  /** Judges a job by the time that it takes on a fleet that is never full, which its submitter knows and the product does not. */
+  #judge ({ id, at, class: { name }, taskMs }: Arrival): PlayedJob {
+    const job = this.#state.data.jobs.get(id)
+    const queue = job === undefined ? undefined : this.#queues.get(job.queue)
+    const chainMs = taskMs.reduce((sum, tasks) => sum + Math.max(...tasks), 0)
+    const objectiveMs = (queue?.targetLatencyMs ?? 0) + (queue?.slackFactor ?? 1) * chainMs
+    const tookMs = job?.state === 'completed' ? job.endedAt - at : Number.POSITIVE_INFINITY
+    const startedAt = this.#firstStarts.get(id)
+    return { class: name, outcome: tookMs <= objectiveMs ? 'inAim' : tookMs <= LATE_FACTOR * objectiveMs ? 'late' : 'lost', waitMs: startedAt === undefined ? null : startedAt - at }
+  }
+
+  get #capacity () {
+    return { cpu: this.#workload.cpu, memory: this.#workload.memory, accelerators: 0 }
+  }
+
+  #apply (command: BatchCommand): void {
+    this.#state.apply(++this.#index, command)
+  }
+}
+
+function workerOf (machine: string): string {
+  return `${machine}@1`
+}
+
+function * listGroups (jobs: readonly MeasuredJob[], at: Millis): Generator<StartGroup> {
+  for (const { job } of jobs) yield * listStartable(job, at, () => null)
+}
--- /dev/null
+++ b/bench/policies/workload.ts
@@ -0,0 +1,142 @@
+/** Jobs that arrive at a fleet whose queues surge in turn. */
+import { Random } from '../../src/batch/fuzz/random.js'
+import type { Step } from '../../src/batch/types.js'
+import type { Millis } from '../../src/clock/index.js'
+
+/** One kind of job. */
+export interface JobClass {
+  readonly name: string
+  readonly service: string
+  /** Mean number of jobs a second, over the whole time. */
+  readonly perSecond: number
+  /** Mean number of steps and of tasks in a step. */
+  readonly steps: number
+  readonly width: number
+  /** Mean run time of a task. */
+  readonly taskMs: Millis
+  /** Mean processor capacity that a task takes, in thousandths of a core. */
+  readonly cpu: number
+  /** Mean memory that a task takes, in megabytes. */
+  readonly memory: number
+  /** Priority of the queue; 0 is the highest. */
+  readonly priority: number
+}
+
+/** A fleet and what is asked of it. */
+export interface Workload {
+  readonly classes: readonly JobClass[]
+  /** Machines that belong to each service at the start, and those that are powered off. */
+  readonly machines: Readonly<Record<string, number>>
+  readonly standbyMachines: number
+  /** Capacity of a machine. */
+  readonly cpu: number
+  readonly memory: number
+  /** Orders for machines that the platform accepts each second. */
+  readonly ordersPerSecond: number
+  /** Each service surges for this long, one after the other. */
+  readonly turnMs: Millis
+  /** Share of the runs that fail. */
+  readonly failureShare: number
+}
+
+/** One job with the run times that its submitter can only estimate. */
+export interface Arrival {
+  readonly id: string
+  readonly class: JobClass
+  readonly at: Millis
+  readonly steps: readonly Step[]
+  /** Run time of each task, by step. */
+  readonly taskMs: ReadonlyArray<readonly Millis[]>
+}
+
+/** A queue in its turn asks this many times its mean, and this share of it otherwise. */
+const SURGE_FACTOR = 4
+const REST_FACTOR = 0.05
+
+/** Spread of the run times within a step, and of a step's estimate around its mean run time. */
+const TASK_SPREAD = 0.3
+const ESTIMATE_SPREAD = 0.5
+
+const MAX_WIDTH = 32
+const ARRIVAL_TICK_MS: Millis = 20
+
+/**
+ * The larger INLA studio: four services with pools of some 80 machines each, 40 jobs a second in the mean.
+ *
+ * @param scale - share of its machines and of its jobs
+ */
+export function createStudioWorkload (scale: number): Workload {
+  const short = { steps: 1.6, width: 8, taskMs: 1000, cpu: 2300, memory: 8300, priority: 0 }
+  const long = { steps: 2, width: 8, taskMs: 2100, cpu: 4900, memory: 18_000, priority: 1 }
+  const count = (machines: number): number => Math.max(2, Math.round(machines * scale))
+  return {
+    classes: [
+      { name: 'take-cleanup', service: 'booth', perSecond: 16.3 * scale, ...short },
+      { name: 'chapter-master', service: 'mastering', perSecond: 3.28 * scale, ...long },
+      { name: 'text-align', service: 'text', perSecond: 20.4 * scale, ...short },
+      { name: 'book-publish', service: 'catalogue', perSecond: 4.02 * scale, ...long }
+    ],
+    machines: { booth: count(65), mastering: count(75), text: count(85), catalogue: count(91) },
+    standbyMachines: count(62),
+    cpu: 16_000,
+    memory: 65_536,
+    ordersPerSecond: 310 * scale,
+    turnMs: 4500,
+    failureShare: 0.002
+  }
+}
+
+/**
+ * Generates the jobs that arrive.
+ *
+ * @param workload - the fleet and its classes
+ * @param seed - seed of all random choices
+ * @param lengthMs - how long jobs arrive
+ */
+export function generateArrivals (workload: Workload, seed: number, lengthMs: Millis): Arrival[] {
+  const random = new Random(seed)
+  const services = [...new Set(workload.classes.map(({ service }) => service))]
+  const arrivals: Arrival[] = []
+  for (let at = 0; at < lengthMs; at += ARRIVAL_TICK_MS) {
+    const turn = services[Math.floor(at / workload.turnMs) % services.length]
+    for (const jobClass of workload.classes) {
+      const factor = jobClass.service === turn ? SURGE_FACTOR : REST_FACTOR
+      const expected = jobClass.perSecond * factor * ARRIVAL_TICK_MS / 1000
+      for (let left = expected; left > 0; left -= 1) if (random.next() < left) arrivals.push(createArrival(jobClass, at, arrivals.length, random))
+    }
+  }
+  return arrivals
+}
+
+function createArrival (jobClass: JobClass, at: Millis, index: number, random: Random): Arrival {
+  const stepCount = Math.max(1, Math.round(jobClass.steps + random.next() - 0.5))
+  const around = (mean: number, spread: number): number => mean * Math.exp((random.next() + random.next() + random.next() - 1.5) * spread * 2)
+  const steps: Step[] = []
+  const taskMs: Millis[][] = []
+  for (let i = 0; i < stepCount; i++) {
+    const meanMs = around(jobClass.taskMs, ESTIMATE_SPREAD)
+    const count = Math.min(MAX_WIDTH, Math.max(1, Math.round(around(jobClass.width, 0.6))))
+    steps.push({
+      count,
+      cpu: Math.min(3 * jobClass.cpu, Math.round(around(jobClass.cpu, 0.45))),
+      memory: Math.min(3 * jobClass.memory, Math.round(around(jobClass.memory, 0.6))),
+      accelerators: 0,
+      estimateMs: Math.round(around(meanMs, ESTIMATE_SPREAD)),
+      after: i === 0 ? [] : [i - 1],
+      isCheckpointable: false,
+      isGang: false,
+      prefersOneRack: false,
+      label: '',
+      dataRack: '',
+      maxPerWorker: 0,
+      allowsCopies: false,
+      isLasting: false,
+      image: '',
+      tailTargetMs: 0,
+      isFiller: false,
+      maxUnavailable: 0
+    })
+    taskMs.push(Array.from({ length: count }, () => Math.round(around(meanMs, TASK_SPREAD))))
+  }
+  return { id: (index + 1).toString(16).padStart(16, '0'), class: jobClass, at, steps, taskMs }
+}
--- /dev/null
+++ b/integration/policies/test.ts
@@ -0,0 +1,56 @@
+import { expect } from 'chai'
+import { LoadPlayer, type PlayResult } from '../../bench/policies/player.js'
+import { drawPlays } from '../../bench/policies/plot.js'
+import { POLICIES, type Policy } from '../../bench/policies/policies.js'
+import { formatTable, summarize } from '../../bench/policies/report.js'
+import { createStudioWorkload, generateArrivals } from '../../bench/policies/workload.js'
+
+const SCALE = 0.3
+const ARRIVALS_MS = 27_000
+
+/** Jobs that arrive last have time to complete within their objective. */
+const PLAY_MS = ARRIVALS_MS + 16_000
+const SEEDS = [1, 2, 3]
+
+/** Surges of four times the mean, in turn, on a fleet of a hundred machines. */
+function play (policy: Policy, seed: number): Promise<PlayResult> {
+  const workload = createStudioWorkload(SCALE)
+  return new LoadPlayer(workload, policy, seed).play(generateArrivals(workload, seed, ARRIVALS_MS), PLAY_MS)
+}
+
+/** Returns the share of the jobs of all seeds that complete within their objective. */
+async function playAll (policy: Policy): Promise<number> {
+  const results = []
+  for (const seed of SEEDS) results.push(await play(policy, seed))
+  const jobs = results.flatMap((result) => result.jobs)
+  return jobs.filter(({ outcome }) => outcome === 'inAim').length / jobs.length
+}
+
+describe('policies under surges in turn', () => {
+  it('completes more jobs within their objective than first in, first out', async () => {
+    expect(await playAll({ order: 'chosen', pools: 'chosen' })).to.be.above(await playAll({ order: 'firstInFirstOut', pools: 'chosen' }))
+  })
+
+  it('completes more jobs within their objective with pools that follow demand than with fixed ones', async () => {
+    expect(await playAll({ order: 'chosen', pools: 'chosen' })).to.be.above(await playAll({ order: 'chosen', pools: 'fixed' }))
+  })
+
+  it('serves the classes with large jobs at least half as well as all callers', async () => {
+    for (const seed of SEEDS) {
+      const { inAim, byClass } = summarize(await play({ order: 'chosen', pools: 'chosen' }, seed))
+      for (const [name, callers] of Object.entries(byClass)) expect(callers.inAim, `seed ${seed}, ${name}`).to.be.at.least(inAim / 2)
+    }
+  })
+
+  it('plays the same load in the same way each time', async () => {
+    const policy = POLICIES[0] as Policy
+    expect(await play(policy, 7)).to.deep.equal(await play(policy, 7))
+  })
+
+  it('prints a row and draws a curve for each play', async () => {
+    const results = [await play({ order: 'chosen', pools: 'chosen' }, 1), await play({ order: 'shortestFirst', pools: 'fixed' }, 1)]
+    const table = formatTable(results.map(summarize))
+    for (const text of ['firstInFirstOut', 'shortestFirst']) expect(table.includes(text)).to.equal(text === 'shortestFirst')
+    expect(drawPlays(results).match(/<path /g)).to.have.length(3 * results.length)
+  })
+})
