Forget which workers a relay had not reached once it is back

Cause: since a late answer routes only the worker in question around its relay, the workers of a relay that was lost kept their mark when it was back, and went to it again only after another relay had failed them too.

Change: RelayRouter drops the marks of a relay that is used again.

Result: a test that failed before.

--- a/src/workers/relayRouter/index.ts
+++ b/src/workers/relayRouter/index.ts
@@ -172,12 +172,18 @@
     for (const address of live) {
       let relay = this.#relays.get(address)
       if (relay === undefined) this.#relays.set(address, relay = { workers: new Set(), inFlight: new Set(), isLive: false, avoidedUntil: 0 })
-      if (!relay.isLive) this.#log.info('relay.used', { relay: address })
-      relay.isLive = true
+      if (!relay.isLive) this.#use(address, relay)
     }
     for (const [address, relay] of this.#relays) if (relay.isLive && !live.has(address)) this.#lose(address, relay)
   }
 
+  /** Uses a relay for the first time or again. That it had not reached workers before it was lost says nothing of now. */
+  #use (address: string, relay: Relay): void {
+    this.#log.info('relay.used', { relay: address })
+    relay.isLive = true
+    for (const [worker, unreachedThrough] of this.#unreachedThrough) if (unreachedThrough === address) this.#unreachedThrough.delete(worker)
+  }
+
   #lose (address: string, relay: Relay): void {
     this.#log.info('relay.lost', { relay: address, workers: relay.workers.size, inFlight: relay.inFlight.size })
     relay.isLive = false
--- a/src/workers/relayRouter/test.ts
+++ b/src/workers/relayRouter/test.ts
@@ -88,6 +88,20 @@
     expect(router.route('w@1')).to.equal(first)
   })
 
+  it('gives a relay that is back the workers again whose calls have failed with it', async () => {
+    const { clock, lost, router, routeAll, countWorkers } = createHarness()
+    const before = routeAll()
+    lost.add('a:1')
+    WORKERS.forEach((worker, i) => { if (before[i] === 'a:1') router.avoidFor(worker, 'a:1') })
+    await clock.advance(600)
+    expect(countWorkers()).not.to.have.property('a:1')
+    lost.clear()
+    await clock.advance(600)
+    for (const address of ['b:1', 'c:1', 'd:1']) lost.add(address)
+    await clock.advance(600)
+    expect(countWorkers()).to.deep.equal({ 'a:1': WORKERS.length })
+  })
+
   it('routes nothing while no other member answers', async () => {
     const { clock, lost, router } = createHarness()
     for (const address of RELAYS) lost.add(address)
