--- a/src/links/keepAliveCalls/index.ts
+++ b/src/links/keepAliveCalls/index.ts
@@ -6,7 +6,15 @@
 import type { Millis } from '../../clock/index.js'
 import { splitAddress } from '../../settings/parsers.js'
 import type { TextAnswer } from '../http/index.js'
-import { CallTimeoutError } from '../timedPool/index.js'
+import { CallTimeoutError } from '../callTimeoutError/index.js'
+
+/** Request with a text body. */
+export interface TextRequest {
+  readonly method: 'GET' | 'POST'
+  readonly path: string
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: string | null
+}
 
 /** Limits of {@link KeepAliveCalls}. */
 export interface KeepAliveLimits {
@@ -38,20 +46,18 @@
   }
 
   /**
-   * Sends a POST request and returns its answer as text.
+   * Sends a request and returns its answer as text.
    *
-   * @param path - path of the request
-   * @param headers - headers besides the length of the body
-   * @param body - text
+   * @param req - the request; the length of its body is added to its headers
    * @param timeoutMs - time for the whole call, in milliseconds
    * @throws CallTimeoutError when the timeout ends first
    * @throws any other error of the connection
    */
-  post (path: string, headers: Readonly<Record<string, string>>, body: string, timeoutMs: Millis): Promise<TextAnswer> {
+  request ({ method, path, headers, body }: TextRequest, timeoutMs: Millis): Promise<TextAnswer> {
     const agent = this.#currentAgent()
     const answersBefore = this.#answerCount
     return new Promise((resolve, reject) => {
-      const req = request({ host: this.#host, port: this.#port, agent, path, method: 'POST', headers: { ...headers, 'content-length': String(Buffer.byteLength(body)) } })
+      const req = request({ host: this.#host, port: this.#port, agent, path, method, headers: body === null ? headers : { ...headers, 'content-length': String(Buffer.byteLength(body)) } })
       const fail = (err: Error): void => {
         clearTimeout(timeout)
         this.#inFlight.delete(req)
@@ -76,7 +82,7 @@
         })
       })
       this.#inFlight.add(req)
-      req.end(body)
+      req.end(body ?? undefined)
     })
   }
 
--- a/src/links/keepAliveCalls/test.ts
+++ b/src/links/keepAliveCalls/test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
-import { CallTimeoutError } from '../timedPool/index.js'
+import { CallTimeoutError } from '../callTimeoutError/index.js'
 import { KeepAliveCalls } from './index.js'
 
 const LIMITS = { connections: 2, idleMs: 20_000 }
@@ -30,7 +30,7 @@
   })
 
   /** Waits one turn of the event loop after the answer, since only then is the connection free for the next call. */
-  const ask = (path: string, timeoutMs: number) => calls.post(path, { 'x-test': 'yes' }, 'question', timeoutMs).finally(() => new Promise((resolve) => setImmediate(resolve)))
+  const ask = (path: string, timeoutMs: number) => calls.request({ method: 'POST', path, headers: { 'x-test': 'yes' }, body: 'question' }, timeoutMs).finally(() => new Promise((resolve) => setImmediate(resolve)))
   const failureOf = (call: Promise<unknown>) => call.then(() => null, (err: unknown) => err)
 
   it('sends headers and body, and returns status and the whole answer', async () => {
@@ -46,6 +46,11 @@
     expect(await ask('/path', LONG_TIMEOUT_MS)).to.deep.equal({ status: 409, text: 'POST /path yes question' })
   })
 
+  it('sends a request without a body', async () => {
+    answer = (req, res) => { res.end(`${req.method} ${String(req.headers['content-length'])}`) }
+    expect((await calls.request({ method: 'GET', path: '/', headers: {}, body: null }, LONG_TIMEOUT_MS)).text).to.equal('GET undefined')
+  })
+
   it('reuses one connection for consecutive calls', async () => {
     answer = (_req, res) => { res.end() }
     for (let i = 0; i < 3; i++) await ask('/', LONG_TIMEOUT_MS)
--- a/src/links/leaderClient/test.ts
+++ b/src/links/leaderClient/test.ts
@@ -2,7 +2,7 @@
 import type { ControlAnswer } from '../../batch/requests.js'
 import { ManualClock } from '../../clock/index.js'
 import { NotConnectedError, type MsgpackLinks } from '../msgpackLink/index.js'
-import { CallTimeoutError } from '../timedPool/index.js'
+import { CallTimeoutError } from '../callTimeoutError/index.js'
 import { LeaderClient } from './index.js'
 
 type Reply = () => Promise<ControlAnswer>
--- a/src/links/msgpackLink/index.ts
+++ b/src/links/msgpackLink/index.ts
@@ -10,7 +10,7 @@
 import { splitAddress } from '../../settings/parsers.js'
 import { FrameError, type AnswerMessage } from '../frames/index.js'
 import { MessageSocket } from '../messageSocket/index.js'
-import { CallTimeoutError } from '../timedPool/index.js'
+import { CallTimeoutError } from '../callTimeoutError/index.js'
 
 const CONNECT_TIMEOUT_MS: Millis = 600
 
--- a/src/links/msgpackLink/test.ts
+++ b/src/links/msgpackLink/test.ts
@@ -3,7 +3,7 @@
 import { once } from 'node:events'
 import { encodeFrame } from '../frames/index.js'
 import { MsgpackServer, type MsgpackHandlers } from '../msgpackServer/index.js'
-import { CallTimeoutError } from '../timedPool/index.js'
+import { CallTimeoutError } from '../callTimeoutError/index.js'
 import { ConnectionLostError, MsgpackLink, NotConnectedError, RemoteError } from './index.js'
 
 const SERVER_PORT = 18_481
--- a/src/links/timedPool/index.ts
+++ b/src/links/timedPool/index.ts
@@ -1,18 +1,9 @@
 /** Pool of connections to one address on which each call has its own timeout. */
 import type { Pool } from 'undici'
 import type { Millis } from '../../clock/index.js'
+import { CallTimeoutError } from '../callTimeoutError/index.js'
 import { createPool, sendRequest, type BytesAnswer, type PoolLimits, type TextAnswer, type BufferedRequest } from '../http/index.js'
 
-/** Thrown when a call is not answered within its timeout. */
-export class CallTimeoutError extends Error {
-  override readonly name = 'CallTimeoutError'
-
-  /** @param wasSent - false when the call was still waiting for a connection, so that it was certainly not carried out */
-  constructor (readonly wasSent: boolean) {
-    super(wasSent ? 'the call was not answered within its timeout' : 'no connection was available within the timeout of the call')
-  }
-}
-
 /** Limits of a pool whose calls have timeouts. */
 export interface TimedPoolLimits extends PoolLimits {
   /**
--- a/src/links/timedPool/test.ts
+++ b/src/links/timedPool/test.ts
@@ -1,7 +1,8 @@
 import { expect } from 'chai'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { CallTimeoutError, TimedPool } from './index.js'
+import { CallTimeoutError } from '../callTimeoutError/index.js'
+import { TimedPool } from './index.js'
 
 const PORT = 18_474
 const ADDRESS = `127.0.0.1:${PORT}`
