Log each reported end of a run that meets no active run

Change: judgeEnd says what an end changes and why not; RunEndRecorder, taken out of BatchScheduler, logs run.endedLate with it. No change of what is recorded.

--- /dev/null
+++ b/src/batch/runEndRecorder/index.ts
@@ -0,0 +1,68 @@
+/** Commits the ends of runs that workers report and that the leader concludes, and only then acknowledges them. */
+import type { WorkerRegistry } from '../../workers/registry/index.js'
+import { judgeEnd } from '../judgeEnd/index.js'
+import type { TermContext } from '../leader/context.js'
+import type { LostRuns } from '../lostRuns/index.js'
+import type { RunStats } from '../runStats/index.js'
+import type { JobRecord, RunEnd } from '../state/records.js'
+import { parseTask, type TaskPosition } from '../types.js'
+
+/** Records run ends during one term. */
+export class RunEndRecorder {
+  readonly #context: TermContext
+  readonly #registry: WorkerRegistry
+  readonly #lostRuns: LostRuns
+  readonly #stats: RunStats
+
+  /**
+   * @param context - shared dependencies of the term
+   * @param registry - sessions with the workers
+   * @param lostRuns - finds the runs that were lost with their workers
+   * @param stats - statistics of past runs
+   */
+  constructor (context: TermContext, registry: WorkerRegistry, lostRuns: LostRuns, stats: RunStats) {
+    this.#context = context
+    this.#registry = registry
+    this.#lostRuns = lostRuns
+    this.#stats = stats
+  }
+
+  /**
+   * Commits all ends that are known now, then acknowledges those that workers have listed.
+   *
+   * @param isWorkerCheckDue - whether to look for runs that were lost with their workers
+   */
+  async record (isWorkerCheckDue: boolean): Promise<void> {
+    const collected = [...this.#registry.takeSessionsWithEnds()].map((session) => ({ session, ...session.takeRunEnds() }))
+    const ends = collected.flatMap(({ ends }) => ends)
+    if (isWorkerCheckDue) {
+      ends.push(...this.#lostRuns.list())
+      const revived = this.#lostRuns.listRevived()
+      if (revived.length > 0) await this.#context.propose('enrol', { workers: revived })
+    }
+    if (ends.length > 0) {
+      for (const end of ends) this.#observe(end)
+      await this.#context.propose('end', { ends })
+    }
+    for (const { session, listedSeq } of collected) session.acknowledge(listedSeq)
+  }
+
+  #observe (end: RunEnd): void {
+    const { clock, log, state } = this.#context
+    const { task, run, worker, outcome, checkpoint } = end
+    const effect = judgeEnd(state.data, end)
+    if (effect !== 'recorded') {
+      log.info('run.endedLate', { task, run, worker, outcome, effect })
+      return
+    }
+    if (outcome !== 'done') log.info('run.ended', { task, run, worker, outcome, evidence: end.evidence ?? undefined })
+    const { job: id, step: stepIndex } = parseTask(task) as TaskPosition
+    const job = state.data.jobs.get(id) as JobRecord
+    const active = state.runsOn(worker).get(task)
+    if (active?.run !== run) return
+    if (outcome === 'done') {
+      const step = job.steps[stepIndex]
+      if (step !== undefined && checkpoint === '') this.#stats.observeCompletedRun(job.queue, worker, step.estimateMs, clock.wall() - active.placedAt)
+    } else if (outcome === 'failed') this.#stats.observeFailedRun(worker, clock.now())
+  }
+}
--- a/src/batch/scheduler/index.ts
+++ b/src/batch/scheduler/index.ts
@@ -14,9 +14,10 @@
 import { LostRuns } from '../lostRuns/index.js'
 import { createPoolWorker } from '../poolWorker/index.js'
 import { planStarts, type PlannedStart, type PoolWorker, type StartGroup } from '../planStarts/index.js'
+import { RunEndRecorder } from '../runEndRecorder/index.js'
 import type { RunStats } from '../runStats/index.js'
 import { queueKey } from '../state/handlers.js'
-import type { RunEnd, JobRecord, Placement, TaskRecord } from '../state/records.js'
+import type { JobRecord, Placement, TaskRecord } from '../state/records.js'
 import { describeTrials, isOnTrial, isSuspectTask } from '../trials/index.js'
 import { parseTask, type Queue, type QueueConfig, type Resources, type TaskPosition } from '../types.js'
 
@@ -46,7 +47,7 @@
   readonly #stats: RunStats
   readonly #policies: SchedulerPolicies
   readonly #workNotifier: Notifier
-  readonly #lostRuns: LostRuns
+  readonly #runEndRecorder: RunEndRecorder
   readonly #arrivalMeters = new Map<string, ArrivalMeter>()
   readonly #starvationDetector = new StarvationDetector()
   /** Workers with placements that are proposed but not yet committed. */
@@ -67,7 +68,7 @@
   constructor (context: TermContext, registry: WorkerRegistry, stats: RunStats, policies: SchedulerPolicies, workNotifier: Notifier) {
     this.#context = context
     this.#registry = registry
-    this.#lostRuns = new LostRuns(context.clock, context.state, registry)
+    this.#runEndRecorder = new RunEndRecorder(context, registry, new LostRuns(context.clock, context.state, registry), stats)
     this.#stats = stats
     this.#policies = policies
     this.#workNotifier = workNotifier
@@ -160,7 +161,7 @@
 
   async #runCycle (): Promise<void> {
     this.#isWorkerCheckDue = this.#isTimeToCheckWorkers()
-    await this.#recordRunEnds()
+    await this.#runEndRecorder.record(this.#isWorkerCheckDue)
     if (this.#context.signal.aborted) return
     this.#stopUnneededRuns()
     await this.#startWaitingTasks()
@@ -174,34 +175,6 @@
     return true
   }
 
-  async #recordRunEnds (): Promise<void> {
-    const collected = [...this.#registry.takeSessionsWithEnds()].map((session) => ({ session, ...session.takeRunEnds() }))
-    const ends = collected.flatMap(({ ends }) => ends)
-    if (this.#isWorkerCheckDue) {
-      ends.push(...this.#lostRuns.list())
-      const revived = this.#lostRuns.listRevived()
-      if (revived.length > 0) await this.#context.propose('enrol', { workers: revived })
-    }
-    if (ends.length > 0) {
-      for (const end of ends) this.#observeRunEnd(end)
-      await this.#context.propose('end', { ends })
-    }
-    for (const { session, listedSeq } of collected) session.acknowledge(listedSeq)
-  }
-
-  #observeRunEnd (end: RunEnd): void {
-    const { clock, log, state } = this.#context
-    const position = parseTask(end.task)
-    const job = position === null ? undefined : state.data.jobs.get(position.job)
-    const active = state.runsOn(end.worker).get(end.task)
-    if (end.outcome !== 'done') log.info('run.ended', { task: end.task, run: end.run, worker: end.worker, outcome: end.outcome, evidence: end.evidence ?? undefined })
-    if (position === null || job === undefined || active?.run !== end.run) return
-    if (end.outcome === 'done') {
-      const step = job.steps[position.step]
-      if (step !== undefined && end.checkpoint === '') this.#stats.observeCompletedRun(job.queue, end.worker, step.estimateMs, clock.wall() - active.placedAt)
-    } else if (end.outcome === 'failed') this.#stats.observeFailedRun(end.worker, clock.now())
-  }
-
   #stopUnneededRuns (): void {
     const { state, log } = this.#context
     for (const [{ run, worker }, task] of state.unneededRuns) {
