Complete a task whose worker reports a run as done that was recorded as over

Callers saw a task that had been finished run again. Cause: the leader takes the runs of a silent worker for over once it thinks that their lease has run out; when the worker answers again and lists a run as done, no active run was found, the end was dropped without a line, and the next poll acknowledged it. Change: such an end completes the task, or its gang, and a run that was started since is stopped as one of a finished task. Nothing else is taken from a late end: failures of a run whose lease has run out are not counted by the platform either.

--- a/src/batch/state/handlers.ts
+++ b/src/batch/state/handlers.ts
@@ -1,7 +1,8 @@
 /** Command handlers of the replicated state. All handlers are deterministic. */
 import type { Millis } from '../../clock/index.js'
+import { judgeEnd } from '../judgeEnd/index.js'
 import { confirmCrashes, MAX_REMEMBERED_WORKERS, recordCrashEvidence } from './crashes.js'
-import { formatTask, parseTask, workerKey } from '../types.js'
+import { formatTask, parseTask, workerKey, type TaskPosition } from '../types.js'
 import type { ActiveRun, BatchCommandOf, BatchCommandType, BatchData, RunEnd, JobRecord, StepRecord, TaskRecord, MaintenanceState, WorkerRecord } from './records.js'
 
 const MAINTENANCE_STATE_ORDER: readonly MaintenanceState[] = ['waiting', 'ordered', 'begun', 'done', 'gone']
@@ -144,20 +145,21 @@
 }
 
 function recordRunEnd (data: BatchData, end: RunEnd, at: Millis, observer: StateObserver): void {
-  const position = parseTask(end.task)
-  const job = position === null ? undefined : data.jobs.get(position.job)
-  const steps = position === null ? undefined : job?.occurrences.get(position.occurrence)
-  if (position === null || job === undefined || steps === undefined) return
-  const step = steps[position.step]
-  const task = step?.tasks[position.index]
-  const active = task?.active.find(({ run, worker }) => run === end.run && worker === end.worker)
-  if (step === undefined || task === undefined || active === undefined) return
-  task.active = task.active.filter((other) => other !== active)
-  task.lastEndAt = at
-  observer.onRunEnded(end.task, active)
+  const effect = judgeEnd(data, end)
+  if (effect !== 'recorded' && effect !== 'completed') return
+  const position = parseTask(end.task) as TaskPosition
+  const job = data.jobs.get(position.job) as JobRecord
+  const step = job.occurrences.get(position.occurrence)?.[position.step] as StepRecord
+  const task = step.tasks[position.index] as TaskRecord
   const isGang = job.steps[position.step]?.isGang === true
-  if (end.checkpoint !== '' && !task.isDone) {
-    for (const member of isGang ? step.tasks : [task]) member.checkpoint = end.checkpoint
+  if (effect === 'recorded') {
+    const active = task.active.find(({ run, worker }) => run === end.run && worker === end.worker) as ActiveRun
+    task.active = task.active.filter((other) => other !== active)
+    task.lastEndAt = at
+    observer.onRunEnded(end.task, active)
+    if (end.checkpoint !== '' && !task.isDone) {
+      for (const member of isGang ? step.tasks : [task]) member.checkpoint = end.checkpoint
+    }
   }
   if (job.state !== 'active') return
   if (recordCrashEvidence(data, job, task, end, at)) {
@@ -166,18 +168,8 @@
   }
   // Long-running tasks are restarted after every outcome, until the job is cancelled.
   if (job.steps[position.step]?.isLasting === true) return
-  if (end.outcome === 'done') {
-    const wasDone = areAllDone(steps)
-    for (const index of isGang ? step.tasks.keys() : [position.index]) {
-      const member = step.tasks[index] as TaskRecord
-      if (member.isDone) continue
-      member.isDone = true
-      step.doneCount += 1
-      if (member.active.length > 0) observer.onTaskDone(formatTask({ ...position, index }), member)
-    }
-    if (!wasDone && areAllDone(steps)) job.doneOccurrences += 1
-    if (job.doneOccurrences >= Math.max(1, job.repeatCount)) endJob(job, 'completed', at, observer)
-  } else if (end.outcome === 'failed') {
+  if (end.outcome === 'done') completeTask(job, position, at, observer)
+  else if (end.outcome === 'failed') {
     task.failures += 1
     task.failedOn = [...task.failedOn, end.worker].slice(-MAX_REMEMBERED_WORKERS)
     const limit = data.config?.queues.find((queue) => queueKey(queue) === job.queue)?.maxAttempts ?? 0
@@ -185,6 +177,23 @@
   }
 }
 
+/** Marks a task as done, or all tasks of its gang, and ends the job after its last one. */
+function completeTask (job: JobRecord, position: TaskPosition, at: Millis, observer: StateObserver): void {
+  const steps = job.occurrences.get(position.occurrence) as StepRecord[]
+  const step = steps[position.step] as StepRecord
+  const isGang = job.steps[position.step]?.isGang === true
+  const wasDone = areAllDone(steps)
+  for (const index of isGang ? step.tasks.keys() : [position.index]) {
+    const member = step.tasks[index] as TaskRecord
+    if (member.isDone) continue
+    member.isDone = true
+    step.doneCount += 1
+    if (member.active.length > 0) observer.onTaskDone(formatTask({ ...position, index }), member)
+  }
+  if (!wasDone && areAllDone(steps)) job.doneOccurrences += 1
+  if (job.doneOccurrences >= Math.max(1, job.repeatCount)) endJob(job, 'completed', at, observer)
+}
+
 function areAllDone (steps: readonly StepRecord[]): boolean {
   return steps.every(({ tasks, doneCount }) => doneCount === tasks.length)
 }
--- a/src/batch/state/test.ts
+++ b/src/batch/state/test.ts
@@ -1,51 +1,11 @@
 import { expect } from 'chai'
-import { createConfig, createJob, createQueue, createStep, createWorker } from '../fixtures/index.js'
-import type { JobSpec } from '../types.js'
+import { createConfig, createJob, createStep, createWorker } from '../fixtures/index.js'
+import { createStateHarness as createHarness, JOB_ID as ID, type StateHarness } from '../fixtures/stateHarness.js'
 import { BatchState } from './index.js'
-import type { BatchCommandOf, BatchCommandType, CrashEvidence, JobRecord, RunEnd, TaskRecord } from './records.js'
+import type { JobRecord, TaskRecord } from './records.js'
 
-const ID = '00000000000000aa'
 const QUEUE = 'studio.example /cleanup/'
 
-class StateHarness {
-  readonly state = new BatchState()
-  #index = 0
-  #at = 1000
-
-  apply<K extends BatchCommandType> (type: K, input: Omit<BatchCommandOf<K>, 'type' | 'at'>): unknown {
-    return this.state.apply(++this.#index, { type, at: ++this.#at, ...input })
-  }
-
-  accept (changes: Partial<JobSpec> = {}): unknown {
-    return this.apply('accept', { jobs: [createJob(ID, changes)] })
-  }
-
-  place (task: string, run: number, worker = 'w@1'): unknown {
-    return (this.apply('place', { placements: [{ task, run, worker }] }) as boolean[])[0]
-  }
-
-  end (task: string, run: number, outcome: RunEnd['outcome'], checkpoint = ''): void {
-    this.apply('end', { ends: [{ task, run, worker: 'w@1', outcome, checkpoint }] })
-  }
-
-  /** Places a run of a task and loses it with its worker. */
-  lose (task: string, run: number, evidence: CrashEvidence | null, worker = 'w@1'): void {
-    this.place(task, run, worker)
-    this.apply('end', { ends: [{ task, run, worker, outcome: 'lost', checkpoint: '', evidence, isCrashConfirmed: true }] })
-  }
-
-  get phase (): string | undefined {
-    return this.state.data.jobs.get(ID)?.state
-  }
-}
-
-function createHarness (maxAttempts = 2): StateHarness {
-  const harness = new StateHarness()
-  harness.apply('configure', { config: createConfig(1, [createQueue({ maxAttempts })]) })
-  harness.apply('enrol', { workers: [createWorker('w'), createWorker('x')] })
-  return harness
-}
-
 describe('BatchState', () => {
   it('keeps the highest version of the configuration, with the content received first', () => {
     const harness = createHarness()
