Take the queue of run ends out of WorkerSession, and take all ends of an answer whatever their order

The protocol doesn't say that answers list ends in order. Change: RunEndQueue keeps ends from their listing to their acknowledgement, and compares numbers with what was listed before the answer.

--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -7,6 +7,7 @@
 import { LeaseClock } from '../leaseClock/index.js'
 import type { WorkerSessionContext, StartOrder } from './types.js'
 import type { OrderAnswer, OrderRefusal, WorkerCalls } from '../types.js'
+import { RunEndQueue, type CollectedRunEnds } from '../runEndQueue/index.js'
 import { createRunOrder, RunOrders, type RunOrder } from '../runOrder/index.js'
 import type { LeaveGate } from '../pollGate/index.js'
 import { StartQueue } from '../startQueue/index.js'
@@ -35,11 +36,7 @@
   readonly #startQueue: StartQueue
   #isEnded = false
   #goneAt: Millis = Number.POSITIVE_INFINITY
-  #runEnds: RunEnd[] = []
-  /** Highest sequence number of the run ends that the worker has listed. */
-  #listedSeq = 0
-  /** Highest sequence number of the run ends that are committed, which the next long poll acknowledges. */
-  #acknowledgedSeq = 0
+  readonly #runEnds = new RunEndQueue()
 
   /**
    * @param key - key of the worker's incarnation
@@ -90,15 +87,13 @@
   }
 
   /** Removes and returns the run ends to commit, and the sequence number to acknowledge once they are committed. */
-  takeRunEnds (): { readonly ends: readonly RunEnd[], readonly listedSeq: number } {
-    const ends = this.#runEnds
-    this.#runEnds = []
-    return { ends, listedSeq: this.#listedSeq }
+  takeRunEnds (): CollectedRunEnds {
+    return this.#runEnds.take()
   }
 
   /** @param seq - sequence number up to which run ends are committed */
   acknowledge (seq: number): void {
-    this.#acknowledgedSeq = Math.max(this.#acknowledgedSeq, seq)
+    this.#runEnds.acknowledge(seq)
     this.#wakeNotifier.notify()
   }
 
@@ -144,7 +139,7 @@
       }
       if (this.contact.consecutiveFailures > 0) await this.#pause(this.contact.retryDelayMs)
       // The worker answers at once while it has unacknowledged run ends, so wait until these are committed.
-      else if (this.#listedSeq > this.#acknowledgedSeq) await this.#pause(MAX_COMMIT_WAIT_MS)
+      else if (this.#runEnds.hasUncommitted) await this.#pause(MAX_COMMIT_WAIT_MS)
     }
   }
 
@@ -163,7 +158,7 @@
 
   /** Whether nothing runs on the worker, is being started there, or has ended without being committed. */
   get #isIdle (): boolean {
-    return this.orders.size === 0 && this.#listedSeq === this.#acknowledgedSeq && this.#context.runsOn(this.key).size === 0
+    return this.orders.size === 0 && !this.#runEnds.hasUncommitted && this.#context.runsOn(this.key).size === 0
   }
 
   /**
@@ -278,7 +273,7 @@
     const leaseEndMs = isFirst || this.contact.consecutiveFailures > 0 ? null : this.#lease.grant(sentAt, LEASE_MS)
     const waitMs = leaseEndMs === null ? 0 : this.#isIdle ? this.#context.idlePollWaitMs() : this.orders.hasOpenTrial ? SURVIVAL_MS : POLL_WAIT_MS
     this.contact.recordPoll(waitMs)
-    const answer = await this.#calls.poll({ token, acknowledgedSeq: this.#acknowledgedSeq, leaseEndMs, waitMs }, waitMs + POLL_TIMEOUT_MS)
+    const answer = await this.#calls.poll({ token, acknowledgedSeq: this.#runEnds.acknowledgedSeq, leaseEndMs, waitMs }, waitMs + POLL_TIMEOUT_MS)
     if (answer.refusal === 'wrongWorker') {
       this.markGone('another worker answers at its address')
       return
@@ -299,10 +294,8 @@
   #reconcileRuns ({ running, ended, clockMs }: { readonly running: readonly RunningTask[], readonly ended: readonly EndedRun[], readonly clockMs: Millis }, sentAt: Millis): void {
     const expected = this.#context.runsOn(this.key)
     const listed = new Set<string>()
-    for (const end of ended) {
-      listed.add(`${end.task}#${end.run}`)
-      if (end.seq <= this.#listedSeq) continue
-      this.#listedSeq = end.seq
+    for (const { task, run } of ended) listed.add(`${task}#${run}`)
+    for (const end of this.#runEnds.takeNew(ended)) {
       this.#recordEnd(end.task, end.run, end.outcome, end.checkpoint, expected.has(end.task) ? this.key : this.#context.earlierIncarnationWith(end.task, end.run) ?? this.key)
     }
     for (const reportedRun of running) {
@@ -339,7 +332,7 @@
   #recordEnd (task: string, run: number, outcome: RunEnd['outcome'], checkpoint: string, worker = this.key): void {
     const order = this.orders.get(task)
     if (order?.run === run) this.orders.delete(task)
-    this.#runEnds.push({ task, run, worker, outcome, checkpoint })
+    this.#runEnds.add({ task, run, worker, outcome, checkpoint })
     this.#context.onRunEnd()
     this.#context.onChange()
   }
