Commit the ends of a round that failed before they are acknowledged

What callers could have seen: a finished task that runs again. Cause: the ends were taken from the sessions before the round's proposals, and a round that failed at one of them dropped them; the next round acknowledged the highest number that had been listed. Change: a failed round gives the ends back to their sessions.

--- a/src/batch/runEndRecorder/index.ts
+++ b/src/batch/runEndRecorder/index.ts
@@ -31,20 +31,29 @@
    * Commits all ends that are known now, then acknowledges those that workers have listed.
    *
    * @param isWorkerCheckDue - whether to look for runs that were lost with their workers
+   * @throws the error of a rejected proposal; the ends are committed by a later call then
    */
   async record (isWorkerCheckDue: boolean): Promise<void> {
-    const collected = [...this.#registry.takeSessionsWithEnds()].map((session) => ({ session, ...session.takeRunEnds() }))
-    const ends = collected.flatMap(({ ends }) => ends)
+    const collected = [...this.#registry.takeSessionsWithEnds()].map((session) => ({ session, runEnds: session.takeRunEnds() }))
+    try {
+      await this.#commit(collected.flatMap(({ runEnds }) => runEnds.ends), isWorkerCheckDue)
+    } catch (err) {
+      for (const { session, runEnds } of collected) session.returnRunEnds(runEnds)
+      throw err
+    }
+    for (const { session, runEnds } of collected) session.acknowledge(runEnds.listedSeq)
+  }
+
+  async #commit (reported: readonly RunEnd[], isWorkerCheckDue: boolean): Promise<void> {
+    const ends = [...reported]
     if (isWorkerCheckDue) {
       ends.push(...this.#lostRuns.list())
       const revived = this.#lostRuns.listRevived()
       if (revived.length > 0) await this.#context.propose('enrol', { workers: revived })
     }
-    if (ends.length > 0) {
-      for (const end of ends) this.#observe(end)
-      await this.#context.propose('end', { ends })
-    }
-    for (const { session, listedSeq } of collected) session.acknowledge(listedSeq)
+    if (ends.length === 0) return
+    for (const end of ends) this.#observe(end)
+    await this.#context.propose('end', { ends })
   }
 
   #observe (end: RunEnd): void {
--- a/src/workers/runEndQueue/index.ts
+++ b/src/workers/runEndQueue/index.ts
@@ -49,6 +49,11 @@
     return { ends, listedSeq: this.#listedSeq }
   }
 
+  /** @param collected - ends that were taken and could not be committed; the next call of {@link take} returns them first */
+  putBack ({ ends }: CollectedRunEnds): void {
+    this.#ends.unshift(...ends)
+  }
+
   /** @param seq - sequence number up to which run ends are committed */
   acknowledge (seq: number): void {
     this.#acknowledgedSeq = Math.max(this.#acknowledgedSeq, seq)
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -91,6 +91,12 @@
     return this.#runEnds.take()
   }
 
+  /** @param collected - run ends that were taken and could not be committed; they are to be taken again */
+  returnRunEnds (collected: CollectedRunEnds): void {
+    this.#runEnds.putBack(collected)
+    this.#context.onRunEnd()
+  }
+
   /** @param seq - sequence number up to which run ends are committed */
   acknowledge (seq: number): void {
     this.#runEnds.acknowledge(seq)
