--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -2,11 +2,12 @@
 import { Notifier } from '../../clock/notifier/index.js'
 import type { Millis } from '../../clock/index.js'
 import type { RunEnd, WorkerRecord } from '../../batch/state/records.js'
-import type { EndedRun, RunningTask } from '../../batch/types.js'
+import type { RunningTask } from '../../batch/types.js'
+import { compareRuns } from '../compareRuns/index.js'
 import { WorkerContact } from '../contact/index.js'
 import { LeaseClock } from '../leaseClock/index.js'
 import type { WorkerSessionContext, StartOrder } from './types.js'
-import type { OrderAnswer, OrderRefusal, WorkerCalls } from '../types.js'
+import type { OrderAnswer, OrderRefusal, WorkerCalls, WorkerRuns } from '../types.js'
 import { RunEndQueue, type CollectedRunEnds } from '../runEndQueue/index.js'
 import { createRunOrder, RunOrders, type RunOrder } from '../runOrder/index.js'
 import type { LeaveGate } from '../pollGate/index.js'
@@ -297,22 +298,16 @@
     if (!wasLive) this.#context.onChange()
   }
 
-  #reconcileRuns ({ running, ended, clockMs }: { readonly running: readonly RunningTask[], readonly ended: readonly EndedRun[], readonly clockMs: Millis }, sentAt: Millis): void {
+  #reconcileRuns (answer: WorkerRuns & { readonly clockMs: Millis }, sentAt: Millis): void {
     const expected = this.#context.runsOn(this.key)
-    const listed = new Set<string>()
-    for (const { task, run } of ended) listed.add(`${task}#${run}`)
-    for (const end of this.#runEnds.takeNew(ended)) {
+    for (const end of this.#runEnds.takeNew(answer.ended)) {
       this.#recordEnd(end.task, end.run, end.outcome, end.checkpoint, expected.has(end.task) ? this.key : this.#context.earlierIncarnationWith(end.task, end.run) ?? this.key)
     }
-    for (const reportedRun of running) {
-      listed.add(`${reportedRun.task}#${reportedRun.run}`)
-      if (expected.get(reportedRun.task)?.run === reportedRun.run) this.#observeRun(reportedRun, clockMs)
-      else this.#stopUnknownRun(reportedRun)
-    }
-    for (const [task, { run }] of expected) {
-      if (!listed.has(`${task}#${run}`)) this.#onMissingRun(task, run, sentAt)
-    }
-    if (ended.length > 0) this.#context.onChange()
+    const { confirmed, unknown, missing } = compareRuns(expected, answer)
+    for (const run of confirmed) this.#observeRun(run, answer.clockMs)
+    for (const run of unknown) this.#stopUnknownRun(run)
+    for (const { task, run } of missing) this.#onMissingRun(task, run, sentAt)
+    if (answer.ended.length > 0) this.#context.onChange()
   }
 
   #observeRun (reportedRun: RunningTask, workerClockMs: Millis): void {
--- a/src/workers/types.ts
+++ b/src/workers/types.ts
@@ -28,9 +28,16 @@
   readonly clockMs: Millis | null
 }
 
+/** The runs on a worker. */
+export interface WorkerRuns {
+  readonly running: readonly RunningTask[]
+  /** Ends that are not acknowledged. */
+  readonly ended: readonly EndedRun[]
+}
+
 /** A worker's answer to a long poll; `born` tells which incarnation has answered. */
 export type WorkerPollAnswer =
-  | { readonly refusal: null, readonly clockMs: Millis, readonly born: number, readonly running: readonly RunningTask[], readonly ended: readonly EndedRun[] }
+  | { readonly refusal: null, readonly clockMs: Millis, readonly born: number } & WorkerRuns
   | { readonly refusal: OrderRefusal }
 
 /** Renews the lease of all runs on a worker, acknowledges run ends, and asks for the running and the ended runs. */
