Take no run for lost while its worker has more ends than one answer lists

What callers could see: a finished task that runs again. Cause: a worker lists 500 ends at a time; a run whose end comes after them is in neither list, so it was stopped, recorded as lost and started again, and its done was then listed and acknowledged. Change: an answer says whether there may be further ends; no run is missing until all are listed.

--- a/src/batch/fuzz/simFleet.ts
+++ b/src/batch/fuzz/simFleet.ts
@@ -110,7 +110,7 @@
       while (this.#unacknowledgedEnds.length === 0 && this.#world.clock.now() < until && !this.#isDead) await this.#world.clock.sleep(TICK_MS)
       const now = this.#world.clock.now()
       const running = [...this.#runs].map(([task, { run, startedAt, endsAt }]) => ({ task, run, checkpoint: '', percent: computePercent(now - startedAt, endsAt - startedAt), load: null }))
-      return { refusal: null, clockMs: now, born: this.born, running, ended: [...this.#unacknowledgedEnds] }
+      return { refusal: null, clockMs: now, born: this.born, running, ended: [...this.#unacknowledgedEnds], hasMoreEnds: false }
     })
   }
 
--- a/src/batch/runEndRecorder/test.ts
+++ b/src/batch/runEndRecorder/test.ts
@@ -27,7 +27,7 @@
       const ended = id === 'w' && acknowledgedSeq < 1 ? [{ seq: 1, task: TASK, run: 1, outcome: 'done', checkpoint: '' } as const] : []
       if (id === 'w') acknowledged.push(acknowledgedSeq)
       await clock.sleep(ended.length > 0 ? 5 : 5 + waitMs)
-      return { refusal: null, clockMs: clock.now(), born: 1, running: [], ended }
+      return { refusal: null, clockMs: clock.now(), born: 1, running: [], ended, hasMoreEnds: false }
     },
     close: () => {}
   }) as unknown as WorkerCalls
--- a/src/batch/scheduler/test.ts
+++ b/src/batch/scheduler/test.ts
@@ -53,7 +53,7 @@
     this.#ended = this.#ended.filter(({ seq }) => seq > acknowledgedSeq)
     if (this.#ended.length === 0) await Promise.race([this.#clock.sleep(waitMs), new Promise<void>((resolve) => { this.#wake = resolve })])
     const running = [...this.running].map(([task, run]) => ({ task, run, checkpoint: '', percent: 10, load: null }))
-    return { refusal: null, clockMs: this.#clock.now(), born: 1, running, ended: this.#ended } as const
+    return { refusal: null, clockMs: this.#clock.now(), born: 1, running, ended: this.#ended, hasMoreEnds: false } as const
   }
 
   async start ({ task, run }: { readonly task: string, readonly run: number }, timeoutMs: number) {
--- a/src/workers/compareRuns/index.ts
+++ b/src/workers/compareRuns/index.ts
@@ -8,7 +8,7 @@
   readonly confirmed: readonly RunningTask[]
   /** Runs that are running and not in the state. */
   readonly unknown: readonly RunningTask[]
-  /** Runs that are in the state, and neither running nor among the ends. */
+  /** Runs that are in the state, and neither running nor among the ends. None while not all ends are listed. */
   readonly missing: ReadonlyArray<{ readonly task: string, readonly run: number }>
 }
 
@@ -18,9 +18,9 @@
  * @param expected - runs that the state has on the worker, by task
  * @param listed - the worker's lists
  */
-export function compareRuns (expected: ReadonlyMap<string, { readonly run: number }>, { running, ended }: WorkerRuns): RunComparison {
+export function compareRuns (expected: ReadonlyMap<string, { readonly run: number }>, { running, ended, hasMoreEnds }: WorkerRuns): RunComparison {
   const isExpected = ({ task, run }: RunningTask): boolean => expected.get(task)?.run === run
   const listed = new Set([...running, ...ended].map(({ task, run }) => `${task}#${run}`))
-  const missing = [...expected].filter(([task, { run }]) => !listed.has(`${task}#${run}`)).map(([task, { run }]) => ({ task, run }))
+  const missing = hasMoreEnds ? [] : [...expected].filter(([task, { run }]) => !listed.has(`${task}#${run}`)).map(([task, { run }]) => ({ task, run }))
   return { confirmed: running.filter(isExpected), unknown: running.filter((run) => !isExpected(run)), missing }
 }
--- a/src/workers/registry/test.ts
+++ b/src/workers/registry/test.ts
@@ -46,7 +46,7 @@
       if (req.waitMs === 0) immediateInFlight -= 1
       if (isSilent) throw new Error('no answer')
       const task = busyWorkers.indexOf(id)
-      return { refusal: null, clockMs: clock.now(), born: 1, running: task < 0 ? [] : [{ task: `${JOB}.0.0.${task}`, run: 1, checkpoint: '', percent: 10, load: null }], ended: [] }
+      return { refusal: null, clockMs: clock.now(), born: 1, running: task < 0 ? [] : [{ task: `${JOB}.0.0.${task}`, run: 1, checkpoint: '', percent: 10, load: null }], ended: [], hasMoreEnds: false }
     },
     close: () => {}
   }) as unknown as WorkerCalls
--- a/src/workers/session/test.ts
+++ b/src/workers/session/test.ts
@@ -19,6 +19,7 @@
   ended: EndedRun[] = []
   born = 1
   isUnresponsive = false
+  maxListedEnds = Number.POSITIVE_INFINITY
   startRefusal: OrderRefusal | null | 'noAnswer' = null
   readonly polls: WorkerPollRequest[] = []
   readonly starts: string[] = []
@@ -34,7 +35,8 @@
     if (this.isUnresponsive) throw new Error('no answer')
     const ended = this.ended.filter(({ seq }) => seq > req.acknowledgedSeq)
     if (ended.length === 0) await this.clock.sleep(req.waitMs)
-    return { refusal: null, clockMs: this.clock.now(), born: this.born, running: this.running, ended }
+    const hasMoreEnds = ended.length > this.maxListedEnds
+    return { refusal: null, clockMs: this.clock.now(), born: this.born, running: this.running, ended: ended.slice(0, this.maxListedEnds), hasMoreEnds }
   }
 
   async start ({ task }: { readonly task: string }): Promise<OrderAnswer> {
@@ -169,6 +171,25 @@
     session.end()
   })
 
+  it('does not take a run for lost whose end is beyond the ends that one answer lists (TWICE)', async () => {
+    const { clock, worker, placed, session } = createHarness()
+    await clock.advance(100)
+    worker.maxListedEnds = 2
+    const tasks = Array.from({ length: 5 }, (_, i) => `00000000000000aa.0.0.${i}`)
+    for (const task of tasks) placed.set(task, { run: 1 })
+    worker.ended = tasks.map((task, i) => ({ seq: i + 1, task, run: 1, outcome: 'done', checkpoint: '' }))
+    const outcomes = new Map<string, string[]>()
+    for (let i = 0; i < 20; i++) {
+      await clock.advance(500)
+      const { ends, listedSeq } = session.takeRunEnds()
+      for (const { task, outcome } of ends) outcomes.set(task, [...outcomes.get(task) ?? [], outcome])
+      for (const { task } of ends) placed.delete(task)
+      session.acknowledge(listedSeq)
+    }
+    expect([...outcomes]).to.deep.equal(tasks.map((task) => [task, ['done']]))
+    session.end()
+  })
+
   it('stops a run that was never placed', async () => {
     const { clock, worker, session } = createHarness()
     worker.running = [{ task: TASK, run: 4, checkpoint: '', percent: 10, load: null }]
--- a/src/workers/types.ts
+++ b/src/workers/types.ts
@@ -33,6 +33,8 @@
   readonly running: readonly RunningTask[]
   /** Ends that are not acknowledged. */
   readonly ended: readonly EndedRun[]
+  /** Whether there may be further ends, which the worker lists once these are acknowledged. */
+  readonly hasMoreEnds: boolean
 }
 
 /** A worker's answer to a long poll; `born` tells which incarnation has answered. */
