Take a start that is refused as stale for unclear, not for one that has not run

What callers could see: a finished task that runs again. Cause: stale says that this run or a later one was stopped or has ended at the worker; a start that is delivered twice meets its own run's end. The run was recorded as refused, started again, and its done met no active run. Change: the worker's lists tell what became of the run; one that is not listed is revoked first. A placement that was really too late waits one poll longer. Result: two tests of WorkerSession, both failed before.

--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -208,7 +208,7 @@
         order.startedAt = order.settledAt
         order.runningSinceMs ??= answer.clockMs
         this.consecutiveRefusals = 0
-      } else this.#onStartRefused(startOrder, answer.refusal)
+      } else this.#onStartRefused(startOrder, order, answer.refusal)
     } catch (err) {
       order.phase = 'unclear'
       order.settledAt = clock.now()
@@ -216,8 +216,13 @@
     }
   }
 
-  #onStartRefused ({ task, run }: StartOrder, refusal: OrderRefusal): void {
+  #onStartRefused ({ task, run }: StartOrder, order: RunOrder, refusal: OrderRefusal): void {
     this.#context.log.info('start.refused', { task, run, worker: this.key, reason: refusal })
+    if (refusal === 'stale') {
+      // The run may have begun and ended on an earlier delivery of the start. The lists of the worker tell.
+      order.phase = 'unclear'
+      return
+    }
     if (refusal === 'unhealthy') this.consecutiveRefusals += 1
     this.#recordEnd(task, run, 'refused', '')
     if (refusal === 'wrongWorker') this.markGone('another worker answers at its address')
--- a/src/workers/session/test.ts
+++ b/src/workers/session/test.ts
@@ -190,6 +190,33 @@
     session.end()
   })
 
+  // `stale` says that this run or a later one was stopped or has ended there: the first of two deliveries may have run the task.
+  it('does not take a run for refused whose start was answered as stale (TWICE)', async () => {
+    const { clock, worker, placed, session } = createHarness()
+    await clock.advance(100)
+    placed.set(TASK, { run: 1 })
+    worker.startRefusal = 'stale'
+    void session.start(startOrder)
+    await clock.advance(10)
+    expect(session.takeRunEnds().ends).to.deep.equal([])
+    worker.ended = [{ seq: 1, task: TASK, run: 1, outcome: 'done', checkpoint: '' }]
+    await clock.advance(1000)
+    expect(session.takeRunEnds().ends).to.deep.equal([{ task: TASK, run: 1, worker: 'w@1', outcome: 'done', checkpoint: '' }])
+    session.end()
+  })
+
+  it('revokes a run whose start was answered as stale and that is not listed', async () => {
+    const { clock, worker, placed, session } = createHarness()
+    await clock.advance(100)
+    placed.set(TASK, { run: 1 })
+    worker.startRefusal = 'stale'
+    void session.start(startOrder)
+    await clock.advance(3000)
+    expect(worker.stops).to.include(TASK)
+    expect(session.takeRunEnds().ends[0]).to.include({ task: TASK, outcome: 'lost' })
+    session.end()
+  })
+
   it('stops a run that was never placed', async () => {
     const { clock, worker, session } = createHarness()
     worker.running = [{ task: TASK, run: 4, checkpoint: '', percent: 10, load: null }]
