Free no runs on account of an order that the platform had carried out before

Cause: the platform also answers 200 to an order for a machine that it has carried out before. The leader then marked every worker known on the machine as gone and freed its runs. After a lost answer, or under a new leader that finds the machine as ordered, that may be the next incarnation, alive and with runs: its tasks were started elsewhere while they still ran, or after they had ended. The same holds for a move to the pool that the machine is in already.

Change: a worker is marked as gone only if its session existed when the order was sent, and the order is known not to have been carried out before: the first one of a wave for a machine, which no earlier leader can have sent, or a move out of another pool. Any other worker on the machine counts as unresponsive until it answers a poll that is sent after the verdict (WorkerContact.requireNewAnswer); its lease is not renewed before that, and its runs are freed by lease expiry, by a later incarnation or by its own answers. Such a worker raises no suspicion against its tasks. Machines that an earlier leader has ordered are cordoned from the start of the term until they are marked as begun, done or gone; a machine that the platform refuses as unknown or of another wave is now uncordoned too.

--- a/src/batch/lostRuns/index.ts
+++ b/src/batch/lostRuns/index.ts
@@ -63,7 +63,7 @@
   #judge (session: WorkerSession): Suspicions {
     let suspicions = this.#suspicions.get(session)
     if (suspicions === undefined) {
-      suspicions = session.hasEndedAsPlanned || session.record.isDraining ? new Map() : judgeCrash(this.#describe(session), this.#describeOthers(session))
+      suspicions = isEndPlanned(session) ? new Map() : judgeCrash(this.#describe(session), this.#describeOthers(session))
       this.#suspicions.set(session, suspicions)
     }
     return suspicions
@@ -90,8 +90,13 @@
     const others: SilentWorker[] = []
     for (const session of this.#registry.sessions) {
       const isLost = session.goneReason !== null || session.contact.silentSince !== null
-      if (session !== crashed && isLost && !session.hasEndedAsPlanned && !session.record.isDraining) others.push(this.#describe(session))
+      if (session !== crashed && isLost && !isEndPlanned(session)) others.push(this.#describe(session))
     }
     return others
   }
 }
+
+/** Whether the end of a worker was announced or ordered, as far as is known. */
+function isEndPlanned ({ hasEndedAsPlanned, record, contact }: WorkerSession): boolean {
+  return hasEndedAsPlanned || record.isDraining || contact.isAnswerRequired
+}
--- a/src/batch/lostRuns/test.ts
+++ b/src/batch/lostRuns/test.ts
@@ -21,7 +21,7 @@
   const sessions = Array.from({ length: workerCount }, (_, i) => {
     const record = createWorker(`w${i}`)
     apply({ type: 'enrol', at: 0, workers: [record] })
-    return { key: `w${i}@1`, record, orders: new RunOrders(), contact: { answeredAt: clock.now() - 100, silentSince: clock.now() as number | null }, isLeaseExpired: true, goneReason: null as string | null, hasEndedAsPlanned: false, isLive: false }
+    return { key: `w${i}@1`, record, orders: new RunOrders(), contact: { answeredAt: clock.now() - 100, silentSince: clock.now() as number | null, isAnswerRequired: false }, isLeaseExpired: true, goneReason: null as string | null, hasEndedAsPlanned: false, isLive: false }
   })
   const registry = {
     sessions,
@@ -59,7 +59,7 @@
     expect(evidence()).to.deep.equal({ [TASK]: 'sole' })
   })
 
-  for (const [how, change] of [['left, or whose machine was ordered to move', { hasEndedAsPlanned: true, goneReason: 'planned' }], ['was draining', { record: createWorker('w0', { isDraining: true }) }]] as const) {
+  for (const [how, change] of [['left, or whose machine was ordered to move', { hasEndedAsPlanned: true, goneReason: 'planned' }], ['was draining', { record: createWorker('w0', { isDraining: true }) }], ['may have been ended by an order', { contact: { answeredAt: 0, silentSince: 0, isAnswerRequired: true } }]] as const) {
     it(`suspects nothing on a worker that ${how}`, () => {
       const { place, sessions, evidence } = createHarness(1)
       place(TASK, 0)
--- a/src/maintenance/runner/index.ts
+++ b/src/maintenance/runner/index.ts
@@ -3,6 +3,7 @@
 import type { TermContext } from '../../batch/leader/context.js'
 import type { MaintenanceState, MaintenanceWave } from '../../batch/state/records.js'
 import type { WorkerRegistry } from '../../workers/registry/index.js'
+import type { WorkerSession } from '../../workers/session/index.js'
 import type { MachineDrainer } from '../machineDrainer/index.js'
 import { findNextMachine, type WaitingMachine } from '../nextMachine/index.js'
 import type { MachineCalls, MachineStatus, MachineVerdict } from '../types.js'
@@ -34,6 +35,8 @@
   readonly #draining = new Map<string, number>()
   /** When the last order for a machine was answered or failed; infinity while one is in flight, so that no second one is sent. */
   readonly #lastAttemptAt = new Map<string, Millis>()
+  /** Orders, by wave and machine, that neither this leader nor an earlier one has sent yet. */
+  readonly #unsentOrders = new Set<string>()
   /** Machines for which the platform has seen a later leader. */
   readonly #fenced = new Set<string>()
   #list: ReadonlyMap<string, MachineStatus> | null = null
@@ -70,6 +73,7 @@
   /** Runs cycles until the term ends. */
   async run (): Promise<void> {
     const { clock, signal, state, log, mayOrder } = this.#context
+    this.#cordonOrdered()
     while (!signal.aborted) {
       await clock.sleep(CYCLE_INTERVAL_MS, signal)
       if (signal.aborted || !mayOrder()) continue
@@ -84,6 +88,18 @@
     }
   }
 
+  /** Cordons the machines that an earlier leader has ordered: their workers may be ended at any moment. */
+  #cordonOrdered (): void {
+    for (const wave of this.#context.state.data.waves.values()) {
+      for (const [machine, state] of wave.machines) if (state === 'ordered') this.#cordon(wave, machine)
+    }
+  }
+
+  #cordon (wave: MaintenanceWave, machine: string): void {
+    this.#draining.set(machine, wave.id)
+    this.#drainer.begin(machine)
+  }
+
   async #advance (wave: MaintenanceWave): Promise<void> {
     await this.#recordReturned(wave)
     this.#drainAhead(wave)
@@ -122,8 +138,7 @@
       if (next === undefined) return
       waiting.splice(waiting.indexOf(next), 1)
       if (this.#isLastAvailable(next)) continue
-      this.#draining.set(next.machine, wave.id)
-      this.#drainer.begin(next.machine)
+      this.#cordon(wave, next.machine)
       this.#context.log.info('upkeep.emptying', { wave: wave.id, machine: next.machine, service: next.service, runs: next.runs })
       unavailable.set(next.service, (unavailable.get(next.service) ?? 0) + 1)
       drainingCount += 1
@@ -161,9 +176,11 @@
     this.#lastAttemptAt.set(machine, Number.POSITIVE_INFINITY)
     try {
       if (!mayOrder()) return
+      // The platform also accepts an order that it has carried out before: only the first one is known to end who is there.
+      const ended = this.#unsentOrders.delete(orderKey(wave, machine)) ? this.#registry.sessionsOn(machine) : []
       const verdict = await this.#machines.startMaintenance(machine, wave.id, { holder, token: term }, ORDER_TIMEOUT_MS)
       log.info('upkeep.ordered', { wave: wave.id, machine, verdict })
-      await this.#onVerdict(wave, machine, verdict)
+      await this.#onVerdict(wave, machine, verdict, ended)
     } catch (err) {
       log.info('upkeep.unclear', { wave: wave.id, machine, reason: (err as Error).message })
     } finally {
@@ -171,16 +188,15 @@
     }
   }
 
-  async #onVerdict (wave: MaintenanceWave, machine: string, verdict: MachineVerdict): Promise<void> {
+  async #onVerdict (wave: MaintenanceWave, machine: string, verdict: MachineVerdict, ended: readonly WorkerSession[]): Promise<void> {
     const handlers: Readonly<Record<MachineVerdict, () => Promise<void> | void>> = {
       accepted: async () => {
-        this.#registry.markMachineGone(machine, 'maintenance of its machine has begun')
-        this.#release(machine)
-        await this.#mark(wave, [{ machine, state: 'begun' }])
+        this.#registry.markMachineGone(machine, ended, 'maintenance of its machine has begun')
+        await this.#markAndRelease(wave, [{ machine, state: 'begun' }])
       },
       fenced: () => { this.#fenced.add(machine) },
-      unknownMachine: () => this.#mark(wave, [{ machine, state: 'gone' }]),
-      wrongWave: () => this.#mark(wave, [{ machine, state: 'gone' }]),
+      unknownMachine: () => this.#markAndRelease(wave, [{ machine, state: 'gone' }]),
+      wrongWave: () => this.#markAndRelease(wave, [{ machine, state: 'gone' }]),
       busy: () => {},
       throttled: () => {},
       unavailable: () => {}
@@ -206,7 +222,7 @@
       else if (status === undefined) marks.push({ machine, state: 'gone' })
       else if (state !== 'begun' && isPoweredOff) poweredOff.push(machine)
     }
-    await this.#mark(wave, marks)
+    await this.#markAndRelease(wave, marks)
     await this.#commitAndOrder(wave, poweredOff)
   }
 
@@ -218,6 +234,7 @@
   /** Orders the maintenance of as many of the machines as may go down now, once that is committed. */
   async #commitAndOrder (wave: MaintenanceWave, machines: readonly string[]): Promise<void> {
     const ordered = machines.slice(0, Math.max(0, wave.cap - countMachinesDown(wave)))
+    for (const machine of ordered) if (wave.machines.get(machine) === 'waiting') this.#unsentOrders.add(orderKey(wave, machine))
     await this.#mark(wave, ordered.map((machine) => ({ machine, state: 'ordered' })))
     for (const machine of ordered) void this.#orderMaintenance(wave, machine)
   }
@@ -242,6 +259,15 @@
   async #mark (wave: MaintenanceWave, marks: readonly MaintenanceMark[]): Promise<void> {
     if (marks.length > 0) await this.#context.propose('markUpkeep', { wave: wave.id, marks })
   }
+
+  async #markAndRelease (wave: MaintenanceWave, marks: readonly MaintenanceMark[]): Promise<void> {
+    await this.#mark(wave, marks)
+    for (const { machine } of marks) this.#release(machine)
+  }
+}
+
+function orderKey (wave: MaintenanceWave, machine: string): string {
+  return `${wave.id} ${machine}`
 }
 
 function countMachinesDown (wave: MaintenanceWave): number {
--- a/src/maintenance/runner/test.ts
+++ b/src/maintenance/runner/test.ts
@@ -13,6 +13,7 @@
 import { EventLog } from '../../logs/eventLog/index.js'
 import { Metrics } from '../../metrics/index.js'
 import { WorkerRegistry } from '../../workers/registry/index.js'
+import type { WorkerSession } from '../../workers/session/index.js'
 import { MachineDrainer } from '../machineDrainer/index.js'
 import type { MachineCalls, MachineStatus, MachineVerdict } from '../types.js'
 import { MaintenanceRunner } from './index.js'
@@ -26,6 +27,10 @@
   readonly clock = new ManualClock()
   readonly state = new BatchState()
   readonly orders: string[] = []
+  /** Machines for which the platform has carried out the order; it accepts further ones without effect. */
+  readonly carriedOut = new Set<string>()
+  /** How the platform answers the next orders: it loses the answer of one it carries out, or refuses one for the moment. */
+  readonly nextAnswers: Array<'lost' | 'throttled'> = []
   mostDown = 0
   /** Number of proposals by type. */
   readonly proposals = new Map<string, number>()
@@ -40,7 +45,7 @@
   #born = 0
   #down = 0
 
-  constructor (workers: number, listed: readonly MachineStatus[] = []) {
+  constructor (workers: number, listed: readonly MachineStatus[] = [], ordered: readonly string[] = []) {
     this.#listed = listed
     this.#world = { crashingTasks: new Set(), crashesUnder: new Map(), startsAfterThirdCrash: new Map(), onCrash: () => {}, clock: this.clock, random: new Random(1), violations: [], getStep: createStepLookup(this.#steps), runningOn: new Map(), finishedTasks: new Set(), faults: { requestLost: 0, answerLost: 0, late: 0 } }
     const context: TermContext = {
@@ -62,6 +67,8 @@
     this.#registry = new WorkerRegistry(context, { connect: (record) => this.#incarnations.get(record.machine) as SimWorker, countCallers: () => 1 }, () => { work.notify() })
     const drainer = new MachineDrainer(context, this.#registry, () => false)
     const scheduler = new BatchScheduler(context, this.#registry, new RunStats(), { isCordoned: (session) => drainer.isCordoned(session), getAllowedWorkers: () => null, getTicket: () => null }, work)
+    // An earlier leader has ordered these.
+    if (ordered.length > 0) this.startOrderedWave(ordered)
     void scheduler.run()
     void new MaintenanceRunner(context, this.#registry, this, drainer).run()
     this.apply({ type: 'configure', at: 1, config: createConfig(1) })
@@ -82,10 +89,30 @@
     this.apply({ type: 'startWave', at: this.clock.wall(), wave: { id: 1, machines, deadlineMs: 30_000, cap } })
   }
 
+  startOrderedWave (machines: readonly string[]): void {
+    this.startWave(machines, machines.length)
+    this.apply({ type: 'markUpkeep', at: this.clock.wall(), wave: 1, marks: machines.map((machine) => ({ machine, state: 'ordered' })) })
+  }
+
   get isCompleted (): boolean {
     return this.state.data.waves.get(1)?.isCompleted === true
   }
 
+  get violations (): readonly string[] {
+    return this.#world.violations
+  }
+
+  /** Session with the latest incarnation on a machine. */
+  sessionOn (machine: string): WorkerSession | undefined {
+    return this.#registry.sessionOf(`${machine.slice(2)}@${this.#incarnations.get(machine)?.born}`)
+  }
+
+  /** Machine on which a task is running. */
+  machineOf (task: string): string {
+    const workers = this.#world.runningOn.get(task)
+    return [...this.#incarnations].find(([, incarnation]) => workers?.has(incarnation))?.[0] as string
+  }
+
   get runningTasks (): number {
     return [...this.#world.runningOn.values()].filter((workers) => workers.size > 0).length
   }
@@ -112,9 +139,19 @@
     return Promise.resolve([...owned, ...this.#listed])
   }
 
-  async startMaintenance (machine: string): Promise<MachineVerdict> {
+  async startMaintenance (machine: string, _wave: number, _fence: unknown, timeoutMs: number): Promise<MachineVerdict> {
     await this.clock.sleep(3)
     this.orders.push(machine)
+    const answer = this.nextAnswers.shift()
+    if (answer === 'throttled') return answer
+    if (!this.carriedOut.has(machine)) this.#carryOut(machine)
+    if (answer === undefined) return 'accepted'
+    await this.clock.sleep(timeoutMs)
+    throw new Error('no answer')
+  }
+
+  #carryOut (machine: string): void {
+    this.carriedOut.add(machine)
     this.#incarnations.get(machine)?.crash()
     this.#incarnations.delete(machine)
     this.#down += 1
@@ -123,7 +160,6 @@
       this.#down -= 1
       if (!this.#end.signal.aborted && this.#machines.includes(machine)) this.#startIncarnation(machine)
     })
-    return 'accepted'
   }
 
   move (): Promise<MachineVerdict> {
@@ -217,4 +253,52 @@
     expect(harness.orders).to.deep.equal(['m-off'])
     expect(harness.isCompleted).to.equal(true)
   })
+
+  it('leaves the runs of an incarnation alone that an order of an earlier leader has not ended (task ran twice)', async () => {
+    harness = new Harness(2)
+    harness.submit([createStep({ estimateMs: 20_000 })])
+    await harness.advance(900)
+    const machine = harness.machineOf(`${JOB}.0.0.0`)
+    harness.carriedOut.add(machine)
+    harness.startOrderedWave([machine])
+    await harness.advance(3000)
+    expect(harness.violations).to.deep.equal([])
+    expect(harness.machineOf(`${JOB}.0.0.0`)).to.equal(machine)
+    expect(harness.sessionOn(machine)?.isLive).to.equal(true)
+    expect(harness.isCompleted).to.equal(true)
+  })
+
+  it('keeps the next incarnation enrolled when an order is repeated after its answer was lost', async () => {
+    harness = new Harness(2)
+    await harness.advance(600)
+    harness.nextAnswers.push('lost', 'throttled', 'throttled')
+    harness.startWave(['m-w0'], 1)
+    await harness.advance(6000)
+    expect(harness.orders).to.have.length(4)
+    // One for each worker, and one for the next incarnation.
+    expect(harness.proposals.get('enrol')).to.equal(3)
+    expect(harness.isCompleted).to.equal(true)
+  })
+
+  it('counts a machine as back only when an incarnation after its order answers', async () => {
+    harness = new Harness(4)
+    await harness.advance(600)
+    harness.nextAnswers.push('throttled')
+    harness.startWave(['m-w0', 'm-w1', 'm-w2', 'm-w3'], 1)
+    await harness.advance(20_000)
+    expect(harness.isCompleted).to.equal(true)
+    expect(harness.mostDown).to.equal(1)
+  })
+
+  it('places no tasks on a machine that an earlier leader has ordered until the verdict is known', async () => {
+    harness = new Harness(2, [], ['m-w0'])
+    harness.carriedOut.add('m-w0')
+    harness.nextAnswers.push('throttled', 'throttled')
+    harness.submit([createStep({ count: 2, estimateMs: 20_000, maxPerWorker: 1 })])
+    await harness.advance(900)
+    expect(harness.runningTasks).to.equal(1)
+    await harness.advance(3000)
+    expect(harness.runningTasks).to.equal(2)
+    expect(harness.violations).to.deep.equal([])
+  })
 })
--- a/src/pools/mover/index.ts
+++ b/src/pools/mover/index.ts
@@ -279,9 +279,11 @@
     this.#movedSinceListing.add(machine)
     try {
       if (!mayOrder()) return
+      // The platform also accepts a move that it has carried out before: a worker that is in the new pool already may be alive.
+      const ended = this.#registry.sessionsOn(machine).filter(({ record }) => record.service !== to)
       const verdict = await this.#machines.move(machine, to, { holder, token: term }, ORDER_TIMEOUT_MS)
       log.info('machine.moved', { machine, to, verdict, need: this.#needOf(to) })
-      this.#onVerdict(machine, to, verdict)
+      this.#onVerdict(machine, to, verdict, ended)
     } catch (err) {
       log.info('move.unclear', { machine, to, reason: (err as Error).message })
       this.#isListRequested = true
@@ -290,9 +292,9 @@
     }
   }
 
-  #onVerdict (machine: string, to: string, verdict: MachineVerdict): void {
+  #onVerdict (machine: string, to: string, verdict: MachineVerdict, ended: readonly WorkerSession[]): void {
     if (verdict === 'accepted') {
-      this.#registry.markMachineGone(machine, `its machine was moved to pool ${to}`)
+      this.#registry.markMachineGone(machine, ended, `its machine was moved to pool ${to}`)
       return
     }
     this.#moving.delete(machine)
--- a/src/pools/mover/test.ts
+++ b/src/pools/mover/test.ts
@@ -1,16 +1,23 @@
 import { expect } from 'chai'
 import { ManualClock } from '../../clock/index.js'
+import { createConfig, createWorker } from '../../batch/fixtures/index.js'
 import { EventLog } from '../../logs/eventLog/index.js'
 import type { TermContext } from '../../batch/leader/context.js'
-import type { MachineDrainer } from '../../maintenance/machineDrainer/index.js'
+import { BatchState } from '../../batch/state/index.js'
+import type { BatchCommand } from '../../batch/state/records.js'
+import { MachineDrainer } from '../../maintenance/machineDrainer/index.js'
 import type { MachineCalls, MachineStatus } from '../../maintenance/types.js'
-import type { WorkerRegistry } from '../../workers/registry/index.js'
+import { Metrics } from '../../metrics/index.js'
+import { WorkerRegistry } from '../../workers/registry/index.js'
 import type { WorkerSession } from '../../workers/session/index.js'
+import type { WorkerCalls, WorkerPollRequest } from '../../workers/types.js'
 import type { PoolDemand } from '../machinesNeeded/index.js'
 import { PoolMover } from './index.js'
 
 const STANDBY = 'off'
 const ORDERS_PER_SECOND = 300
+const ANSWER_MS = 5
+const ORDER_MS = 200
 const IDLE: PoolDemand = { work: [], arrivalRate: 0, longRunningLoad: 0, longRunningSpread: 0, isStarved: false }
 
 /** A mover over a fleet whose workers run nothing. `looks` counts how often the mover asks whether a worker is live. */
@@ -45,7 +52,7 @@
     startMaintenance: () => Promise.resolve('accepted')
   }
   const drainer = { begin: () => {}, end: () => {}, isEmpty: () => true, advance: () => true } as unknown as MachineDrainer
-  const registry = { sessions, markMachineGone: () => {}, hasWaitingFirstPolls: false, hasUntriedWorker: () => false } as unknown as WorkerRegistry
+  const registry = { sessions, sessionsOn: () => [], markMachineGone: () => {}, hasWaitingFirstPolls: false, hasUntriedWorker: () => false } as unknown as WorkerRegistry
   const mover = new PoolMover(context, registry, calls, drainer, {
     services: () => new Set(Object.keys(demands)),
     standby: () => STANDBY,
@@ -57,6 +64,54 @@
   return { clock, counts, moves, sessions, end }
 }
 
+/** A mover with the sessions of real workers that answer at once; each order is answered, without effect, after a while. */
+function createTerm (listed: readonly MachineStatus[]) {
+  const clock = new ManualClock()
+  const state = new BatchState()
+  const end = new AbortController()
+  const apply = (command: unknown): unknown => state.apply(0, command as BatchCommand)
+  const context: TermContext = {
+    clock,
+    state,
+    log: new EventLog('test', clock, { writableLength: 0, write: () => {} }),
+    metrics: new Metrics(),
+    term: 2,
+    holder: 'leader',
+    mayOrder: () => true,
+    signal: end.signal,
+    propose: async (type, input) => apply({ type, at: clock.wall(), ...input })
+  }
+  const poll = async ({ waitMs }: WorkerPollRequest) => {
+    await clock.sleep(ANSWER_MS + waitMs)
+    return { refusal: null, clockMs: clock.now(), born: 1, running: [], ended: [] }
+  }
+  const registry = new WorkerRegistry(context, { connect: () => ({ poll, close: () => {} }) as unknown as WorkerCalls, countCallers: () => 1 }, () => {})
+  const moves: string[] = []
+  const calls: MachineCalls = {
+    list: () => Promise.resolve(listed),
+    move: async (machine, to) => {
+      moves.push(`${machine} to ${to}`)
+      await clock.sleep(ORDER_MS)
+      return 'accepted'
+    },
+    startMaintenance: () => Promise.resolve('busy')
+  }
+  apply({ type: 'configure', at: 0, config: createConfig(1) })
+  const mover = new PoolMover(context, registry, calls, new MachineDrainer(context, registry, () => false), {
+    services: () => new Set(['booth', 'line']),
+    standby: () => STANDBY,
+    demandOf: (service) => service === 'booth' ? { ...IDLE, arrivalRate: 1.7 } : IDLE,
+    isInMaintenance: () => false,
+    ordersPerSecond: ORDERS_PER_SECOND
+  })
+  void mover.run()
+  const report = (id: string, service: string): void => {
+    const { isDraining: _, ...record } = createWorker(id, { service })
+    void registry.report({ ...record, state: 'ready', drainLeftMs: null, sequence: clock.now() })
+  }
+  return { clock, moves, registry, report, end: () => { end.abort(); registry.end() } }
+}
+
 function createMachines (prefix: string, count: number, service: string, state: MachineStatus['state'] = 'up'): MachineStatus[] {
   return Array.from({ length: count }, (_, i) => ({ machine: `${prefix}${i}`, service, state, worker: '' }))
 }
@@ -87,4 +142,28 @@
     end.abort()
     expect(counts.looks).to.be.within(sessions.length, 11 * sessions.length)
   })
+
+  // A late order of an earlier leader had moved the machine already.
+  it('leaves the worker alone that is in the pool already to which its machine is ordered to move', async () => {
+    const { clock, moves, registry, report, end } = createTerm(createMachines('m-w', 1, STANDBY))
+    for (let i = 0; moves.length === 0 && i < 500; i++) await clock.advance(20)
+    report('w0', 'booth')
+    await clock.advance(ORDER_MS + 50)
+    expect(moves).to.deep.equal(['m-w0 to booth'])
+    const session = registry.sessionOf('w0@1')
+    expect(session?.goneReason).to.equal(null)
+    await clock.advance(2000)
+    expect(session?.isLive).to.equal(true)
+    end()
+  })
+
+  it('marks the worker as gone at once whose machine has moved to another pool', async () => {
+    const { clock, moves, registry, report, end } = createTerm([])
+    for (const id of ['w0', 'w1', 'w2']) report(id, 'line')
+    for (let i = 0; moves.length === 0 && i < 500; i++) await clock.advance(20)
+    await clock.advance(ORDER_MS + 50)
+    expect(moves[0]).to.match(/^m-w. to booth$/)
+    expect(registry.sessionOf(`${moves[0]?.slice(2, 4)}@1`)?.goneReason).to.be.a('string')
+    end()
+  })
 })
--- a/src/workers/contact/index.ts
+++ b/src/workers/contact/index.ts
@@ -10,6 +10,9 @@
   #unresponsiveAfterMs: Millis = POLL_WAIT_MS + POLL_TIMEOUT_MS
   #consecutiveFailures = 0
   #silentSince: Millis | null = null
+  #isAnswerRequired = false
+  /** Whether a long poll was sent since an answer was last required. */
+  #isPollSent = false
 
   /** @param clock - source of time */
   constructor (clock: Clock) {
@@ -41,9 +44,19 @@
     return this.#answeredAt === Number.NEGATIVE_INFINITY && this.#consecutiveFailures === 0
   }
 
+  /** Whether the worker may be gone and has not yet answered a long poll that was sent since. */
+  get isAnswerRequired (): boolean {
+    return this.#isAnswerRequired
+  }
+
+  /** Whether the worker must answer a short poll before its lease is renewed. */
+  get isInDoubt (): boolean {
+    return this.#isAnswerRequired || this.#consecutiveFailures > 0
+  }
+
   /** Whether the worker has answered recently. */
   get isResponsive (): boolean {
-    return this.#clock.now() - this.#answeredAt < this.#unresponsiveAfterMs
+    return !this.#isAnswerRequired && this.#clock.now() - this.#answeredAt < this.#unresponsiveAfterMs
   }
 
   /** Time to wait before the next poll after a failure, in milliseconds. */
@@ -51,18 +64,26 @@
     return Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_INCREMENT_MS * this.#consecutiveFailures)
   }
 
+  /** Counts the worker as unresponsive until it answers a long poll that is sent from now on: it may be gone. */
+  requireNewAnswer (): void {
+    this.#isAnswerRequired = true
+    this.#isPollSent = false
+  }
+
   /**
    * Records that a long poll is sent.
    *
    * @param waitMs - how long the worker may hold it
    */
   recordPoll (waitMs: Millis): void {
+    this.#isPollSent = true
     if (waitMs > 0) this.#unresponsiveAfterMs = waitMs + POLL_TIMEOUT_MS
   }
 
   /** Records the answer to a long poll. */
   recordAnswer (): void {
     this.#answeredAt = this.#clock.now()
+    if (this.#isPollSent) this.#isAnswerRequired = false
     this.#consecutiveFailures = 0
     this.#silentSince = null
   }
--- a/src/workers/contact/test.ts
+++ b/src/workers/contact/test.ts
@@ -21,6 +21,17 @@
     }
   })
 
+  it('counts a worker as unresponsive until it answers a long poll that is sent after a new answer was required', () => {
+    const contact = new WorkerContact(new ManualClock())
+    contact.recordPoll(POLL_WAIT_MS)
+    contact.requireNewAnswer()
+    contact.recordAnswer()
+    expect(contact).to.include({ isResponsive: false, isInDoubt: true })
+    contact.recordPoll(0)
+    contact.recordAnswer()
+    expect(contact).to.include({ isResponsive: true, isInDoubt: false })
+  })
+
   it('delays polls after failures, longer with each one, until the next answer', () => {
     const contact = new WorkerContact(new ManualClock())
     contact.recordFailure()
--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -99,8 +99,12 @@
    * @param machine - name of the machine
    */
   liveSessionOn (machine: string): WorkerSession | undefined {
-    for (const session of this.#sessionsAmong(this.#context.state.workerIndex.onMachine(machine))) if (session.isLive) return session
-    return undefined
+    return this.sessionsOn(machine).find(({ isLive }) => isLive)
+  }
+
+  /** @param machine - name of the machine whose incarnations to list the sessions of */
+  sessionsOn (machine: string): readonly WorkerSession[] {
+    return [...this.#sessionsAmong(this.#context.state.workerIndex.onMachine(machine))]
   }
 
   /** Removes and returns the sessions that have recorded run ends since the last call. */
@@ -193,13 +197,24 @@
   }
 
   /**
-   * Marks the workers on a machine as gone, because an order to the platform has ended them.
+   * Marks the workers on a machine as gone that an order to the platform has ended. Others may have begun after it was carried out.
    *
    * @param machine - name of the machine
+   * @param ended - sessions with the incarnations that are known to have ended
    * @param reason - why, for the log and for explanations
    */
-  markMachineGone (machine: string, reason: string): void {
-    for (const session of this.#sessionsAmong(this.#context.state.workerIndex.onMachine(machine))) session.markGone(reason, true)
+  markMachineGone (machine: string, ended: readonly WorkerSession[], reason: string): void {
+    const keys = new Set(ended.map(({ key }) => key))
+    for (const session of this.sessionsOn(machine)) this.#markGoneOrDoubt(session, keys.has(session.key), reason)
+  }
+
+  /** A worker that may be gone must answer again; until then it gets no work, and its runs are kept until its lease expires. */
+  #markGoneOrDoubt (session: WorkerSession, isGone: boolean, reason: string): void {
+    if (isGone) session.markGone(reason, true)
+    else if (session.goneReason === null) {
+      this.#context.log.info('worker.doubted', { worker: session.key, reason })
+      session.contact.requireNewAnswer()
+    }
   }
 
   /**
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -274,8 +274,8 @@
     const sentAt = clock.now()
     metrics.count('oleanderward_worker_polls')
     const isFirst = !this.#lease.isKnown
-    // Don't renew the lease of an unresponsive worker: each attempt may arrive and would postpone its expiry.
-    const leaseEndMs = isFirst || this.contact.consecutiveFailures > 0 ? null : this.#lease.grant(sentAt, LEASE_MS)
+    // Don't renew the lease of a worker that may be gone: each attempt may arrive and would postpone its expiry.
+    const leaseEndMs = isFirst || this.contact.isInDoubt ? null : this.#lease.grant(sentAt, LEASE_MS)
     const waitMs = leaseEndMs === null ? 0 : this.#isIdle ? this.#context.idlePollWaitMs() : this.orders.hasOpenTrial ? SURVIVAL_MS : POLL_WAIT_MS
     this.contact.recordPoll(waitMs)
     const answer = await this.#calls.poll({ token, acknowledgedSeq: this.#acknowledgedSeq, leaseEndMs, waitMs }, waitMs + POLL_TIMEOUT_MS)
--- a/src/workers/session/test.ts
+++ b/src/workers/session/test.ts
@@ -117,6 +117,32 @@
     session.end()
   })
 
+  it('renews the lease of a worker that may be gone only once it has answered a poll that was sent since', async () => {
+    const { clock, worker, session } = createHarness()
+    await clock.advance(1000)
+    const before = worker.polls.length
+    session.contact.requireNewAnswer()
+    expect(session.isLive).to.equal(false)
+    await clock.advance(POLL_WAIT_MS)
+    expect(session.isLive).to.equal(true)
+    expect(worker.polls[before]).to.include({ leaseEndMs: null, waitMs: 0 })
+    expect(worker.polls[before + 1]?.leaseEndMs).to.be.a('number')
+    session.end()
+  })
+
+  it('treats the lease of a worker that may be gone as valid until its last renewal has run out', async () => {
+    const { clock, worker, session } = createHarness()
+    await clock.advance(1000)
+    const expiryMs = worker.polls.at(-1)?.leaseEndMs as number
+    session.contact.requireNewAnswer()
+    worker.isUnresponsive = true
+    await clock.advance(expiryMs - clock.now())
+    expect(session).to.include({ isLive: false, isLeaseExpired: false })
+    await clock.advance(POLL_WAIT_MS)
+    expect(session.isLeaseExpired).to.equal(true)
+    session.end()
+  })
+
   it('returns a run end once, and acknowledges it only after it is committed', async () => {
     const { clock, worker, placed, session } = createHarness()
     placed.set(TASK, { run: 1 })
