Free no runs on account of a deregistration that may be an earlier incarnation's

Cause: a deregistration carries only the worker's id. One that was delayed marked the next incarnation under this id as gone after 300 ms, and its runs were freed while they went on.

Change: only incarnations that have reported that they are draining are marked as gone. Any other must answer a poll that is sent after the grace time before it gets work again; a worker that has left with its drain unacknowledged is silent then, and its runs are freed when its lease is over instead of after 300 ms.

--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -17,7 +17,7 @@
 /** A worker that has not answered for this long, and whose lease has expired, is forgotten until it reports again. */
 const FORGET_AFTER_MS: Millis = 15_000
 
-/** Time for which a worker that has left may still answer before its runs are recorded as lost. */
+/** Time for which a worker that has left may still answer before it is marked as gone or has to answer again. */
 const LEAVE_GRACE_MS: Millis = 300
 
 /** Result of a report. `late`: a newer report or a later incarnation makes it obsolete, or the worker is known to be gone. */
@@ -184,14 +184,15 @@
   }
 
   /**
-   * Marks the incarnations of a worker that has left as gone, after a short grace time.
+   * Marks the draining incarnations of a worker that has left as gone, after a short grace time. Others must answer again: a
+   * late deregistration may be that of an earlier incarnation.
    *
    * @param id - id of the worker
    */
   leave (id: string): void {
     for (const session of this.#sessionsAmong(this.#context.state.workerIndex.withId(id))) {
       if (session.goneReason !== null) continue
-      const cancel = this.#clock.after(LEAVE_GRACE_MS, () => { session.markGone('the worker has left', true) })
+      const cancel = this.#clock.after(LEAVE_GRACE_MS, () => { this.#markGoneOrDoubt(session, session.record.isDraining, 'the worker has left') })
       this.#context.signal.addEventListener('abort', cancel, { once: true })
     }
   }
--- a/src/workers/registry/test.ts
+++ b/src/workers/registry/test.ts
@@ -8,6 +8,7 @@
 import { Metrics } from '../../metrics/index.js'
 import { IMMEDIATE_POLLS_PER_CALLER, LEASE_MS } from '../constants.js'
 import type { WorkerCalls, WorkerPollRequest } from '../types.js'
+import type { WorkerSession } from '../session/index.js'
 import { WorkerRegistry } from './index.js'
 
 const JOB = '00000000000000aa'
@@ -107,4 +108,41 @@
     expect(registry.liveSessionOn('m-w1')?.key).to.equal('w1@1')
     stop()
   })
+
+  it('keeps the runs of a worker that answers after a late deregistration of its earlier incarnation (task ran twice)', async () => {
+    const { clock, registry, stop } = createHarness(2, ['w0'])
+    await clock.advance(1000)
+    registry.leave('w0')
+    for (let i = 0; i < 30; i++) {
+      await clock.advance(100)
+      expect(registry.listLostRuns(registry.sessionOf('w0@1') as WorkerSession)).to.deep.equal([])
+    }
+    expect(registry.sessionOf('w0@1')).to.include({ goneReason: null, isLive: true })
+    stop()
+  })
+
+  it('gives a worker that has deregistered without an acknowledged drain no work, and frees its runs when its lease is over', async () => {
+    const silent: string[] = []
+    const { clock, registry, stop } = createHarness(2, ['w0'], silent)
+    await clock.advance(1000)
+    silent.push('w0')
+    registry.leave('w0')
+    await clock.advance(400)
+    const session = registry.sessionOf('w0@1') as WorkerSession
+    expect(session).to.include({ isLive: false, isLeaseExpired: false })
+    await clock.advance(LEASE_MS + 200)
+    expect(registry.listLostRuns(session)).to.deep.equal([[`${JOB}.0.0.0`, 1]])
+    stop()
+  })
+
+  it('marks a draining worker that has deregistered as gone after the grace time', async () => {
+    const { clock, registry, stop } = createHarness(2, ['w0'])
+    await clock.advance(1000)
+    const { isDraining: _, ...record } = createWorker('w0')
+    await registry.report({ ...record, state: 'draining', drainLeftMs: 1000, sequence: 1 })
+    registry.leave('w0')
+    await clock.advance(400)
+    expect(registry.sessionOf('w0@1')?.goneReason).to.equal('the worker has left')
+    stop()
+  })
 })
