--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -17,7 +17,7 @@
 /** A worker that has not answered for this long, and whose lease has expired, is forgotten until it reports again. */
 const FORGET_AFTER_MS: Millis = 15_000
 
-/** Time for which a worker that has left may still answer before its runs are recorded as lost. */
+/** Time for which a worker that has left may still answer before it is marked as gone or has to answer again. */
 const LEAVE_GRACE_MS: Millis = 300
 
 /** Result of a report. `late`: a newer report or a later incarnation makes it obsolete, or the worker is known to be gone. */
@@ -99,8 +99,12 @@
    * @param machine - name of the machine
    */
   liveSessionOn (machine: string): WorkerSession | undefined {
-    for (const session of this.#sessionsAmong(this.#context.state.workerIndex.onMachine(machine))) if (session.isLive) return session
-    return undefined
+    return this.sessionsOn(machine).find(({ isLive }) => isLive)
+  }
+
+  /** @param machine - name of the machine whose incarnations to list the sessions of */
+  sessionsOn (machine: string): readonly WorkerSession[] {
+    return [...this.#sessionsAmong(this.#context.state.workerIndex.onMachine(machine))]
   }
 
   /** Removes and returns the sessions that have recorded run ends since the last call. */
@@ -180,26 +184,38 @@
   }
 
   /**
-   * Marks the incarnations of a worker that has left as gone, after a short grace time.
+   * Marks the draining incarnations of a worker that has left as gone, after a short grace time. Others must answer again: a
+   * late deregistration may be that of an earlier incarnation.
    *
    * @param id - id of the worker
    */
   leave (id: string): void {
     for (const session of this.#sessionsAmong(this.#context.state.workerIndex.withId(id))) {
       if (session.goneReason !== null) continue
-      const cancel = this.#clock.after(LEAVE_GRACE_MS, () => { session.markGone('the worker has left', true) })
+      const cancel = this.#clock.after(LEAVE_GRACE_MS, () => { this.#markGoneOrDoubt(session, session.record.isDraining, 'the worker has left') })
       this.#context.signal.addEventListener('abort', cancel, { once: true })
     }
   }
 
   /**
-   * Marks the workers on a machine as gone, because an order to the platform has ended them.
+   * Marks the workers on a machine as gone that an order to the platform has ended. Others may have begun after it was carried out.
    *
    * @param machine - name of the machine
+   * @param ended - sessions with the incarnations that are known to have ended
    * @param reason - why, for the log and for explanations
    */
-  markMachineGone (machine: string, reason: string): void {
-    for (const session of this.#sessionsAmong(this.#context.state.workerIndex.onMachine(machine))) session.markGone(reason, true)
+  markMachineGone (machine: string, ended: readonly WorkerSession[], reason: string): void {
+    const keys = new Set(ended.map(({ key }) => key))
+    for (const session of this.sessionsOn(machine)) this.#markGoneOrDoubt(session, keys.has(session.key), reason)
+  }
+
+  /** A worker that may be gone must answer again; until then it gets no work, and its runs are kept until its lease expires. */
+  #markGoneOrDoubt (session: WorkerSession, isGone: boolean, reason: string): void {
+    if (isGone) session.markGone(reason, true)
+    else if (session.goneReason === null) {
+      this.#context.log.info('worker.doubted', { worker: session.key, reason })
+      session.contact.requireNewAnswer()
+    }
   }
 
   /**
