Raise the fencing token with each incarnation of a worker

What callers could see: a finished task that runs again. Cause: a worker may start again under its id, and its ends are numbered from 1 again. A poll for the earlier incarnation that is carried out late (a relay that stood still with it) has the same token, so it acknowledges ends of the new one that nobody has recorded, and may prolong its lease beyond what the leader counts on, since its clock begins anew too. Change: the state counts the restarts of each id; the token of a session is the term plus that count, so that the new incarnation refuses calls to the earlier one once it has been called. What reaches it before can only prolong its lease, which the session assumes at its longest. Relays are told the term apart from the token; earlier builds go on taking the token for it. Result: tests of the registry, the state and the relay, of which the first failed before (one token for all incarnations).

--- a/src/batch/fuzz/simulation.ts
+++ b/src/batch/fuzz/simulation.ts
@@ -88,7 +88,7 @@
     const { term } = context
     this.#relays.announceTerm(term)
     const router = new RelayRouter(this.clock, log, () => this.#relays.listMembers(term))
-    const deps = { links: this.#relays.links, router, connect: (worker: WorkerAddress) => this.#connect(worker), mayOrder: context.mayOrder, metrics: context.metrics }
+    const deps = { links: this.#relays.links, router, connect: (worker: WorkerAddress) => this.#connect(worker), mayOrder: context.mayOrder, metrics: context.metrics, term }
     const registry = new WorkerRegistry(context, { connect: (record) => new RelayedWorkerCalls(workerKey(record), record, deps), countCallers: () => router.countCallers() }, () => { workNotifier.notify() })
     const scheduler = new BatchScheduler(context, registry, new RunStats(), { isCordoned: () => false, getAllowedWorkers: () => null, getTicket: () => null }, workNotifier)
     this.#termEnd = end
--- a/src/batch/state/handlers.ts
+++ b/src/batch/state/handlers.ts
@@ -2,6 +2,7 @@
 import type { Millis } from '../../clock/index.js'
 import { judgeEnd } from '../judgeEnd/index.js'
 import { confirmCrashes, MAX_REMEMBERED_WORKERS, recordCrashEvidence } from './crashes.js'
+import { recordIncarnation, purgeIncarnations } from './incarnations.js'
 import { formatTask, parseTask, workerKey, type TaskPosition } from '../types.js'
 import type { ActiveRun, BatchCommandOf, BatchCommandType, BatchData, RunEnd, JobRecord, StepRecord, TaskRecord, MaintenanceState, WorkerRecord } from './records.js'
 
@@ -75,13 +76,16 @@
       data.unconfirmedCrashes.delete(key)
       observer.onWorkerSet(key, worker, data.workers.get(key))
       data.workers.set(key, worker)
+      recordIncarnation(data, worker, at)
     }
   },
 
-  dismiss: (data, { workers }, observer) => {
+  dismiss: (data, { workers, at }, observer) => {
     for (const key of workers) {
       const record = data.workers.get(key)
-      if (record !== undefined) observer.onWorkerRemoved(key, record)
+      if (record === undefined) continue
+      observer.onWorkerRemoved(key, record)
+      recordIncarnation(data, record, at)
       data.workers.delete(key)
     }
   },
@@ -108,6 +112,7 @@
 
   purge: (data, { endedBefore }) => {
     for (const [key, { at }] of data.unconfirmedCrashes) if (at < endedBefore) data.unconfirmedCrashes.delete(key)
+    purgeIncarnations(data, endedBefore)
     let purged = 0
     for (const [id, job] of data.jobs) {
       if (job.state === 'active' || job.endedAt >= endedBefore || hasActiveRun(job)) continue
--- /dev/null
+++ b/src/batch/state/incarnations.ts
@@ -0,0 +1,39 @@
+/** Counts the restarts of each worker under its id. Deterministic, like the command handlers that use it. */
+import type { Millis } from '../../clock/index.js'
+import type { BatchData, WorkerRecord } from './records.js'
+
+/**
+ * Records an incarnation of a worker.
+ *
+ * @param data - replicated state
+ * @param worker - the incarnation
+ * @param at - time of the command
+ */
+export function recordIncarnation (data: BatchData, { id, born }: WorkerRecord, at: Millis): void {
+  const latest = data.incarnations.get(id)
+  if (latest !== undefined && latest.born > born) return
+  const restarts = latest === undefined ? 0 : latest.born < born ? latest.restarts + 1 : latest.restarts
+  data.incarnations.set(id, { born, restarts, seenAt: at })
+}
+
+/**
+ * Forgets the workers that were dismissed before a time.
+ *
+ * @param data - replicated state
+ * @param seenBefore - time in milliseconds
+ */
+export function purgeIncarnations (data: BatchData, seenBefore: Millis): void {
+  const present = new Set([...data.workers.values()].map(({ id }) => id))
+  for (const [id, { seenAt }] of data.incarnations) if (seenAt < seenBefore && !present.has(id)) data.incarnations.delete(id)
+}
+
+/**
+ * Returns how often a worker is known to have restarted under its id before an incarnation.
+ *
+ * @param data - replicated state
+ * @param incarnation - id and start time of the incarnation
+ */
+export function countRestarts (data: BatchData, { id, born }: { readonly id: string, readonly born: number }): number {
+  const latest = data.incarnations.get(id)
+  return latest?.born === born ? latest.restarts : 0
+}
--- a/src/batch/state/index.ts
+++ b/src/batch/state/index.ts
@@ -114,8 +114,9 @@
 
   restore (data: Uint8Array): void {
     this.#data = new Packr({ useRecords: true, moreTypes: true }).unpack(data) as BatchData
-    // Snapshots of earlier builds lack this field.
+    // Snapshots of earlier builds lack these fields.
     this.#data.unconfirmedCrashes ??= new Map()
+    this.#data.incarnations ??= new Map()
     this.#activeJobs = new Map()
     this.#pendingCounts = new Map()
     this.#runsByWorker = new Map()
@@ -167,5 +168,5 @@
 const NO_RUNS: ReadonlyMap<string, ActiveRun> = new Map()
 
 function createBatchData (): BatchData {
-  return { now: 0, config: null, jobs: new Map(), workers: new Map(), waves: new Map(), unconfirmedCrashes: new Map() }
+  return { now: 0, config: null, jobs: new Map(), workers: new Map(), waves: new Map(), unconfirmedCrashes: new Map(), incarnations: new Map() }
 }
--- a/src/batch/state/records.ts
+++ b/src/batch/state/records.ts
@@ -88,6 +88,15 @@
   readonly at: Millis
 }
 
+/** The latest known incarnation of a worker. */
+export interface LatestIncarnation {
+  readonly born: number
+  /** Incarnations under the same id before it. */
+  readonly restarts: number
+  /** When it was recorded, or dismissed since. */
+  readonly seenAt: Millis
+}
+
 /** All data of the replicated state. */
 export interface BatchData {
   /** Highest wall-clock time of the applied commands. */
@@ -98,6 +107,8 @@
   waves: Map<number, MaintenanceWave>
   /** By key of the worker's incarnation. */
   unconfirmedCrashes: Map<string, UnconfirmedCrash>
+  /** By id of the worker; kept for a while after the worker is dismissed. */
+  incarnations: Map<string, LatestIncarnation>
 }
 
 /** The end of a run, reported by its worker or concluded by the leader. */
--- a/src/batch/state/test.ts
+++ b/src/batch/state/test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { createConfig, createJob, createStep, createWorker } from '../fixtures/index.js'
 import { createStateHarness as createHarness, JOB_ID as ID, type StateHarness } from '../fixtures/stateHarness.js'
+import { countRestarts } from './incarnations.js'
 import { BatchState } from './index.js'
 import type { JobRecord, TaskRecord } from './records.js'
 
@@ -284,6 +285,27 @@
     expect(copy.data).to.deep.equal(harness.state.data)
   })
 
+  it('counts the restarts of a worker under its id, also after a restore, and forgets them some time after its dismissal', () => {
+    const harness = createHarness()
+    const enrol = (born: number): void => { harness.apply('enrol', { workers: [createWorker('w', { born })] }) }
+    enrol(2)
+    harness.apply('dismiss', { workers: ['w@1', 'w@2'] })
+    enrol(3)
+    enrol(3)
+    const restored = new BatchState()
+    restored.restore(harness.state.serialize())
+    for (const { data } of [harness.state, restored]) {
+      expect([1, 2, 3].map((born) => countRestarts(data, { id: 'w', born }))).to.deep.equal([0, 0, 2])
+      expect(countRestarts(data, { id: 'x', born: 1 })).to.equal(0)
+    }
+    harness.apply('purge', { endedBefore: 1_000_000 })
+    enrol(4)
+    harness.apply('dismiss', { workers: ['w@3', 'w@4'] })
+    harness.apply('purge', { endedBefore: 1_000_000 })
+    enrol(5)
+    expect([4, 5].map((born) => countRestarts(harness.state.data, { id: 'w', born }))).to.deep.equal([0, 0])
+  })
+
   it('purges a job only after its retention has expired', () => {
     const harness = createHarness()
     harness.accept()
--- a/src/workers/constants.ts
+++ b/src/workers/constants.ts
@@ -6,6 +6,12 @@
  */
 export const LEASE_MS = 3000
 
+/**
+ * No worker grants a longer lease than this. A worker that restarts under its id may hold one from a call to its earlier incarnation, whose
+ * clock showed a later time.
+ */
+export const MAX_WORKER_LEASE_MS = 12_000
+
 /** Longest time that a worker holds a long poll when no run has ended; also the interval between lease renewals. */
 export const POLL_WAIT_MS = 600
 
--- a/src/workers/leaseClock/index.ts
+++ b/src/workers/leaseClock/index.ts
@@ -18,7 +18,7 @@
   readonly #leaseMs: Millis
 
   /**
-   * @param leaseMs - duration of the leases that every leader grants, in milliseconds
+   * @param leaseMs - longest duration of a lease that the worker may hold from before, in milliseconds
    * @param now - reading of the leader's clock
    */
   constructor (leaseMs: Millis, now: Millis) {
--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -3,13 +3,14 @@
 import type { TermContext } from '../../batch/leader/context.js'
 import type { WorkerRecord } from '../../batch/state/records.js'
 import { isOvercommitted } from '../../batch/poolWorker/index.js'
-import { parseTask, workerKey, type Resources, type WorkerReport } from '../../batch/types.js'
-import { IMMEDIATE_POLLS_PER_CALLER } from '../constants.js'
+import { countRestarts } from '../../batch/state/incarnations.js'
+import { parseTask, workerKey, type WorkerReport } from '../../batch/types.js'
+import { IMMEDIATE_POLLS_PER_CALLER, LEASE_MS, MAX_WORKER_LEASE_MS } from '../constants.js'
 import { computeIdlePollWait } from '../idlePollWait/index.js'
 import { isRunOver, startStatusOf } from '../isRunOver/index.js'
 import { PollGate } from '../pollGate/index.js'
 import { createRunOrder } from '../runOrder/index.js'
-import { isSameRecord, toRecord } from '../workerRecord/index.js'
+import { hasLessCapacity, isSameRecord, toRecord } from '../workerRecord/index.js'
 import { WorkerSession } from '../session/index.js'
 import type { WorkerSessionContext } from '../session/types.js'
 import type { WorkerCalls } from '../types.js'
@@ -154,7 +155,7 @@
       if (!this.#sessions.has(key)) this.#openSession(known)
       return 'recorded'
     }
-    if (known !== undefined && isSmaller(record.room, known.room)) this.#shrunkWorkers.add(key)
+    if (known !== undefined && hasLessCapacity(record, known)) this.#shrunkWorkers.add(key)
     await this.#commit(key, record)
     this.#context.log.info(known === undefined ? 'worker.enrolled' : 'worker.changed', { worker: key, service: record.service, address: record.address, machine: record.machine, isDraining: record.isDraining })
     this.#endEarlierIncarnations(record)
@@ -310,11 +311,13 @@
   #openSession (record: WorkerRecord): void {
     const { clock, log, metrics, term, mayOrder, state } = this.#context
     const key = workerKey(record)
+    const restarts = countRestarts(state.data, record)
     const sessionContext: WorkerSessionContext = {
       clock,
       log,
       metrics,
-      token: term,
+      token: term + restarts,
+      inheritedLeaseMs: restarts > 0 ? MAX_WORKER_LEASE_MS : LEASE_MS,
       mayOrder,
       runsOn: (worker) => state.runsOn(worker),
       isRunNeeded: (task, run) => state.isRunNeeded(task, run),
@@ -343,7 +346,3 @@
     this.#openSession(record)
   }
 }
-
-function isSmaller (a: Resources, b: Resources): boolean {
-  return a.cpu < b.cpu || a.memory < b.memory || a.accelerators < b.accelerators
-}
--- a/src/workers/registry/test.ts
+++ b/src/workers/registry/test.ts
@@ -52,10 +52,27 @@
     close: () => {}
   }) as unknown as WorkerCalls
   const registry = new WorkerRegistry(context, { connect, countCallers: () => CALLERS }, () => {})
-  return { clock, registry, polls, maxImmediateInFlight: () => maxImmediateInFlight, stop: () => { end.abort(); registry.end() } }
+  return { clock, registry, polls, maxImmediateInFlight: () => maxImmediateInFlight, apply, stop: () => { end.abort(); registry.end() } }
 }
 
 describe('WorkerRegistry', () => {
+  // The numbers of run ends begin anew with each incarnation, so that a late poll of the last one would acknowledge ends that are not recorded.
+  it('calls a worker that has restarted under its id with a higher token than its earlier incarnation (TWICE)', async () => {
+    const { clock, registry, polls, apply, stop } = createHarness(1)
+    await clock.advance(100)
+    const { isDraining: _, ...record } = createWorker('w0', { born: 2 })
+    const report = { ...record, state: 'ready', drainLeftMs: null, sequence: 1 } as const
+    await registry.report(report)
+    await clock.advance(100)
+    expect([...new Set(polls.map(({ token }) => token))]).to.deep.equal([2, 3])
+    apply({ type: 'dismiss', at: clock.wall(), workers: ['w0@1', 'w0@2'] })
+    registry.forget(['w0@1', 'w0@2'])
+    await registry.report({ ...report, born: 3 })
+    await clock.advance(100)
+    expect(polls.at(-1)?.token).to.equal(4)
+    stop()
+  })
+
   // On a fleet of 3,000 workers the polls of all of them at once kept each new term from lasting a second.
   it('limits the polls in flight when a term begins on a fleet of thousands (sweep at 301 machines)', async () => {
     const { clock, registry, maxImmediateInFlight, polls, stop } = createHarness(3000)
--- a/src/workers/relay/index.ts
+++ b/src/workers/relay/index.ts
@@ -62,9 +62,10 @@
    * @param relayed - the call
    * @returns the worker's answer; `refused` when no call was made
    */
-  async make<K extends WorkerCallName> ({ worker, call, req, timeoutMs }: RelayRequest<K>): Promise<RelayAnswer<K>> {
+  async make<K extends WorkerCallName> ({ worker, term, call, req, timeoutMs }: RelayRequest<K>): Promise<RelayAnswer<K>> {
     if (!Object.hasOwn(WORKER_CALLS, call)) return { kind: 'refused', reason: `unknown call "${call}"` }
-    if (!this.#mayRelay(req.token)) return { kind: 'refused', reason: `this process does not follow the leader of term ${req.token}` }
+    const leaderTerm = term ?? req.token
+    if (!this.#mayRelay(leaderTerm)) return { kind: 'refused', reason: `this process does not follow the leader of term ${leaderTerm}` }
     try {
       return { kind: 'answered', answer: await WORKER_CALLS[call](this.#callsOf(worker), req, timeoutMs) }
     } catch (err) {
--- a/src/workers/relay/test.ts
+++ b/src/workers/relay/test.ts
@@ -40,6 +40,13 @@
     expect(calls).to.deep.equal([])
   })
 
+  it('follows the term of the leader, not the token of the call', async () => {
+    const { relay, calls } = createHarness()
+    expect(await relay.make({ ...STOP, term: 3, req: { ...STOP.req, token: 5 } })).to.include({ kind: 'answered' })
+    expect(await relay.make({ ...STOP, term: 2 })).to.include({ kind: 'refused' })
+    expect(calls).to.have.length(1)
+  })
+
   it('says that the outcome is unknown when the worker does not answer', async () => {
     const { relay, state } = createHarness()
     state.isWorkerSilent = true
--- a/src/workers/relay/types.ts
+++ b/src/workers/relay/types.ts
@@ -19,9 +19,11 @@
 /** Name of a call to a worker. */
 export type WorkerCallName = keyof WorkerCallTypes
 
-/** A call to a worker that another process makes for the leader. The token in the request is the term of the leader. */
+/** A call to a worker that another process makes for the leader. */
 export interface RelayRequest<K extends WorkerCallName = WorkerCallName> {
   readonly worker: WorkerAddress
+  /** Term of the leader. Earlier builds name none, and use it as the fencing token. */
+  readonly term?: number
   readonly call: K
   readonly req: WorkerCallTypes[K]['req']
   readonly timeoutMs: Millis
--- a/src/workers/relayedCalls/index.ts
+++ b/src/workers/relayedCalls/index.ts
@@ -24,6 +24,8 @@
   /** Returns whether orders may still be sent. It is asked again before a refused call is made directly. */
   readonly mayOrder: () => boolean
   readonly metrics: Metrics
+  /** Term of the leader. */
+  readonly term: number
 }
 
 /** Client of one incarnation of a worker. */
@@ -80,11 +82,11 @@
 
   /** Makes a call through a relay. Resolves to null when the call was certainly not made. */
   async #relay<K extends WorkerCallName> (relay: string, call: K, req: WorkerCallTypes[K]['req'], timeoutMs: Millis): Promise<WorkerCallTypes[K]['answer'] | null> {
-    const { links, router, metrics } = this.#deps
+    const { links, router, metrics, term } = this.#deps
     metrics.count('oleanderward_relayed_calls', { relay })
     let outcome: RelayAnswer<K>
     try {
-      outcome = await router.track(relay, links.to(relay).call<RelayAnswer<K>>(RELAY_CALL, { worker: this.#worker, call, req, timeoutMs }, timeoutMs + RELAY_MARGIN_MS))
+      outcome = await router.track(relay, links.to(relay).call<RelayAnswer<K>>(RELAY_CALL, { worker: this.#worker, term, call, req, timeoutMs }, timeoutMs + RELAY_MARGIN_MS))
     } catch (err) {
       if (!isCertainlyNotSent(err)) {
         // A relay that is only slow keeps the workers whose calls it answers: all of them at once would overload the others.
--- a/src/workers/relayedCalls/test.ts
+++ b/src/workers/relayedCalls/test.ts
@@ -23,7 +23,7 @@
   const links = { to: (address: string) => ({ call: () => { made.push(address); return state.reply() } }) } as unknown as MsgpackLinks
   const router = new RelayRouter(clock, new EventLog('test', clock, { writableLength: 0, write: () => {} }), () => ['a', 'b'].map((address) => ({ address, confirmedAt: clock.now() })))
   const connect = (): WorkerCalls => ({ stop: () => { made.push('direct'); return Promise.resolve(DONE) }, close: () => {} }) as unknown as WorkerCalls
-  const calls = new RelayedWorkerCalls('w@1', WORKER, { links, router, connect, mayOrder: () => state.mayOrder, metrics: new Metrics() })
+  const calls = new RelayedWorkerCalls('w@1', WORKER, { links, router, connect, mayOrder: () => state.mayOrder, metrics: new Metrics(), term: 3 })
   const stop = () => calls.stop(STOP, TIMEOUT_MS).catch((err: unknown) => err)
   return { state, made, calls, stop }
 }
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -50,7 +50,7 @@
     this.#calls = calls
     this.#context = context
     this.contact = new WorkerContact(context.clock)
-    this.#lease = new LeaseClock(LEASE_MS, context.clock.now())
+    this.#lease = new LeaseClock(context.inheritedLeaseMs, context.clock.now())
     this.#wakeNotifier = new Notifier(context.clock)
     this.#startQueue = new StartQueue(MAX_CONCURRENT_STARTS, (task, run) => context.isRunNeeded(task, run) && this.orders.get(task)?.isStopRequested !== true && context.hasCapacityFor(task))
   }
--- a/src/workers/session/test.ts
+++ b/src/workers/session/test.ts
@@ -69,6 +69,7 @@
     log: new EventLog('test', clock, { writableLength: 0, write: () => {} }),
     metrics: new Metrics(),
     token: 7,
+    inheritedLeaseMs: LEASE_MS,
     mayOrder: () => lease.mayOrder,
     runsOn: () => placed,
     isRunNeeded: (task, run) => placed.get(task)?.run === run,
--- a/src/workers/session/types.ts
+++ b/src/workers/session/types.ts
@@ -9,8 +9,10 @@
   readonly clock: Clock
   readonly log: EventLog
   readonly metrics: Metrics
-  /** Fencing token of the term. */
+  /** Fencing token: rises with each term, and with each incarnation under the same id, so that calls to an earlier one are refused. */
   readonly token: number
+  /** Longest lease that the worker may hold before this session grants one. */
+  readonly inheritedLeaseMs: Millis
   /** Whether this process may send orders now: its leader lease is confirmed. */
   readonly mayOrder: () => boolean
   /** Returns the runs that the replicated state has on a worker, by task. */
--- a/src/workers/types.ts
+++ b/src/workers/types.ts
@@ -44,7 +44,7 @@
 
 /** Renews the lease of all runs on a worker, acknowledges run ends, and asks for the running and the ended runs. */
 export interface WorkerPollRequest {
-  /** Fencing token of the term. */
+  /** Fencing token of the term and of the incarnation. */
   readonly token: number
   /** Sequence number of the last run end that is committed. */
   readonly acknowledgedSeq: number
--- a/src/workers/workerRecord/index.ts
+++ b/src/workers/workerRecord/index.ts
@@ -18,6 +18,11 @@
   return JSON.stringify(a) === JSON.stringify(b)
 }
 
+/** Returns whether a worker has less of any resource than before. */
+export function hasLessCapacity ({ room }: WorkerRecord, { room: before }: WorkerRecord): boolean {
+  return room.cpu < before.cpu || room.memory < before.memory || room.accelerators < before.accelerators
+}
+
 /**
  * Decides whether a report contains nothing new. Any member of the group may then acknowledge it, because the leader
  * learns from its own long polls whether the worker is alive.
