End a member whose storage fails while it follows, and wait for space at its next start

Cause: after a failed write the log refuses all later ones for good, since the content of the disk is no longer known; the process has to end, and does so when the leader's own write fails. A follower's failure only went to the leader as an answer: 25 s after its disk had space again, the member still answered ENOSPC, 1,408 entries behind, granted no vote, and the group had lost its tolerance for any other loss. Change: ReportingStore reports each failed write, whoever waits for it. A process that starts on a full disk waits instead of ending again and again. Result: tests of Replica (failed before: nothing was reported) and of Wal.

--- a/src/bin/oleanderward-control.ts
+++ b/src/bin/oleanderward-control.ts
@@ -50,7 +50,7 @@
   const { values: cfg } = loaded
   const log = createLogger(cfg.logLevel, cfg.logFormat).withTag('control')
   try {
-    const components = compose(cfg, log, await Wal.open(cfg.dataFolder))
+    const components = compose(cfg, log, await Wal.open(cfg.dataFolder, { onFull: (err) => { log.warn(`No space is left in the data folder; the process waits for some: ${err.message}`) } }))
     warnWithoutTokens(components.guard, log)
     await components.daemon.start()
     await components.server.listen(cfg.listen)
--- a/src/consensus/memoryStore/index.ts
+++ b/src/consensus/memoryStore/index.ts
@@ -7,6 +7,8 @@
 export class MemoryDisk {
   records: StoreRecord[] = []
   snapshot: Snapshot | null = null
+  /** Whether writes fail because no space is left. */
+  isFull = false
 
   /** @param instance - identity of the data folder */
   constructor (readonly instance: string) {}
@@ -19,6 +21,8 @@
   readonly #syncMs: Millis
   #lastOperation: Promise<void> = Promise.resolve()
   #isCrashed = false
+  /** The first failure; all later writes fail with it. */
+  #failure: Error | null = null
 
   /**
    * @param disk - the data that survives a crash
@@ -68,9 +72,11 @@
       await this.#clock.sleep(this.#syncMs)
       // A crashed process never learns the outcome of its write.
       if (this.#isCrashed) await new Promise(() => {})
+      if (this.#failure === null && this.#disk.isFull) this.#failure = new Error('no space left on device')
+      if (this.#failure !== null) throw this.#failure
       write()
     })
-    this.#lastOperation = operation
+    this.#lastOperation = operation.catch(() => {})
     return operation
   }
 }
--- a/src/consensus/replica/index.ts
+++ b/src/consensus/replica/index.ts
@@ -7,6 +7,7 @@
 import { Leadership } from '../leadership/index.js'
 import { removeMember, addLearner, withRole } from '../membership/index.js'
 import { ReplicatedLog } from '../log/index.js'
+import { ReportingStore } from '../reportingStore/index.js'
 import { ReplicaState } from './state.js'
 import type { ReplicaDeps } from './deps.js'
 import { Compactor } from './compactor.js'
@@ -32,14 +33,15 @@
 
   /** @param deps - identity, storage, transport and clock of this member */
   constructor (deps: ReplicaDeps) {
-    this.#deps = deps
+    const store = new ReportingStore(deps.store, (err) => { if (!this.#stop.signal.aborted) deps.onFatal(err) })
+    this.#deps = { ...deps, store }
     setMaxListeners(0, this.#stop.signal)
     this.#wake = new Notifier(deps.clock)
     this.#changed = new Notifier(deps.clock)
-    this.#state = new ReplicaState(deps.id, deps.address, deps.store, deps.clock)
+    this.#state = new ReplicaState(deps.id, deps.address, store, deps.clock)
     this.#state.onChange = () => { this.#onStateChange() }
     this.#election = new Election({ ...deps, state: this.#state, onElected: () => { this.#onElected() }, reportFailure: (work) => { this.#reportFailure(work) } })
-    this.#compactor = new Compactor({ ...deps, state: this.#state, reportFailure: (work) => { this.#reportFailure(work) } })
+    this.#compactor = new Compactor({ ...deps, store, state: this.#state, reportFailure: (work) => { this.#reportFailure(work) } })
     this.#leaderMessageHandler = new LeaderMessageHandler(this.#state, deps.clock, (snapshot) => this.#installSnapshot(snapshot))
   }
 
--- a/src/consensus/replica/test.ts
+++ b/src/consensus/replica/test.ts
@@ -45,6 +45,26 @@
     for (const node of group.nodes) await group.crash(node)
   })
 
+  it('reports the failure of its storage while it follows, so that the process restarts and catches up', async () => {
+    const group = new TestGroup(3, 1)
+    await group.bootstrap(3)
+    const follower = group.nodes.find((node) => node !== group.leader()) as Node
+    const propose = async (value: string): Promise<void> => {
+      const committed = group.leader()?.replica?.propose(value)
+      await group.advance(1000)
+      await committed
+    }
+    follower.disk.isFull = true
+    await propose('while the disk is full')
+    expect(group.errors).not.to.deep.equal([])
+    await group.crash(follower)
+    follower.disk.isFull = false
+    await group.start(follower)
+    await propose('afterwards')
+    expect(follower.machine.history.slice(-2)).to.deep.equal(['while the disk is full', 'afterwards'])
+    for (const node of group.nodes) await group.crash(node)
+  })
+
   it('compacts its log by the size of its entries, so that hundreds of large ones do not fill memory and disk', async () => {
     const group = new TestGroup(3, 1, { compactAfterEntries: 4096 })
     await group.bootstrap(3)
--- a/src/consensus/wal/index.ts
+++ b/src/consensus/wal/index.ts
@@ -2,6 +2,7 @@
 import { mkdir, open, readdir, readFile, rename, unlink, type FileHandle } from 'node:fs/promises'
 import { randomUUID } from 'node:crypto'
 import { join } from 'node:path'
+import { setTimeout as delay } from 'node:timers/promises'
 import { DataFolderError } from '../errors.js'
 import { replayRecords } from '../replayRecords/index.js'
 import type { ListRecords, RecoveredState, Snapshot, Store, StoreRecord } from '../types.js'
@@ -11,6 +12,9 @@
 const INSTANCE_FILE = 'instance'
 const GENERATION_PATTERN = /^log-(\d{8})$/
 
+/** Interval between attempts to recover while no space is left. */
+const FULL_RETRY_MS = 200
+
 /** Content of the first frame of each log file. */
 interface LogHeader {
   readonly instance: string
@@ -25,11 +29,23 @@
   readonly reject: (err: unknown) => void
 }
 
+/** Options of {@link Wal.open}. */
+export interface WalOptions {
+  /** Called after each sync. */
+  readonly onSync?: () => void
+  /** Called with each failed attempt to recover while no space is left. */
+  readonly onFull?: (err: Error) => void
+  /** Whether to lock the folder, which is the default; false where the environment ensures that no second process uses it. */
+  readonly shouldLock?: boolean
+}
+
 /** Store on a disk. After a failed write or sync all later calls fail, because the content of the disk is no longer known. */
 export class Wal implements Store {
   readonly #folder: string
   readonly #lock: FolderLock | null
   readonly #onSync: () => void
+  readonly #onFull: (err: Error) => void
+  #isClosed = false
   #instance = ''
   /** Number of the current log file; a compaction starts the next one. */
   #generation = 0
@@ -41,24 +57,24 @@
   /** Length of the log file, in bytes. */
   #endOffset = 0
 
-  private constructor (folder: string, lock: FolderLock | null, onSync: () => void) {
+  private constructor (folder: string, lock: FolderLock | null, { onSync = () => {}, onFull = () => {} }: WalOptions) {
     this.#folder = folder
     this.#lock = lock
     this.#onSync = onSync
+    this.#onFull = onFull
   }
 
   /**
    * Opens a data folder and creates it if it is missing.
    *
    * @param folder - path of the folder
-   * @param onSync - called after each sync
-   * @param shouldLock - whether to lock the folder; false where the environment ensures that no second process uses it
+   * @param options - callbacks and locking
    * @throws DataFolderError when another process uses it
    */
-  static async open (folder: string, onSync: () => void = () => {}, shouldLock = true): Promise<Wal> {
+  static async open (folder: string, options: WalOptions = {}): Promise<Wal> {
     await mkdir(folder, { recursive: true })
-    const lock = shouldLock ? await FolderLock.acquire(folder) : null
-    const wal = new Wal(folder, lock, onSync)
+    const lock = options.shouldLock === false ? null : await FolderLock.acquire(folder)
+    const wal = new Wal(folder, lock, options)
     await wal.#loadInstance()
     return wal
   }
@@ -67,13 +83,28 @@
     return this.#instance
   }
 
-  /** Recovers the stored state. Appends made in the meantime are written after the recovery. */
+  /** Recovers the stored state, once there is space to write. Appends made in the meantime are written after the recovery. */
   recover (): Promise<RecoveredState> {
-    const operation = this.#lastOperation.then(() => this.#recoverNow())
+    const operation = this.#lastOperation.then(() => this.#recoverOnceWritable())
     this.#lastOperation = operation.then(() => {}, (err: unknown) => { this.#failure = err })
     return operation
   }
 
+  /** Waits for space instead of failing, since the process would only start and fail again. */
+  async #recoverOnceWritable (): Promise<RecoveredState> {
+    for (;;) {
+      try {
+        return await this.#recoverNow()
+      } catch (err) {
+        if ((err as NodeJS.ErrnoException).code !== 'ENOSPC' || this.#isClosed) throw err
+        this.#onFull(err as Error)
+        await this.#file?.close()
+        this.#file = null
+        await delay(FULL_RETRY_MS)
+      }
+    }
+  }
+
   async #recoverNow (): Promise<RecoveredState> {
     const generations = await this.#listGenerations()
     const newest = generations.at(-1)
@@ -93,6 +124,7 @@
     await this.#file.datasync()
     const snapshot = header.snapshotIndex === 0 ? null : await this.#readSnapshot(header.snapshotIndex)
     this.#endOffset = scan.validBytes
+    await this.#write(encodeFrame([]))
     await this.#removeStaleFiles(newest, header.snapshotIndex)
     return { ...replayRecords(frames.flat()), snapshot, tornBytes: bytes.length - scan.validBytes }
   }
@@ -117,6 +149,7 @@
   }
 
   async close (): Promise<void> {
+    this.#isClosed = true
     await this.#lastOperation
     await this.#file?.close()
     this.#file = null
--- a/src/consensus/wal/test.ts
+++ b/src/consensus/wal/test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import { appendFileSync, mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { open, type FileHandle } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { DataFolderError } from '../errors.js'
@@ -57,6 +58,30 @@
     expect(entries.map(({ index }) => index)).to.deep.equal([1, 2])
   })
 
+  it('waits for space when it recovers on a full disk, and keeps what was stored', async () => {
+    const first = await start()
+    await first.recover()
+    await first.append([entry(1), entry(2)])
+    await first.close()
+    const file = await open(logPath(), 'r')
+    const prototype = Object.getPrototypeOf(file) as FileHandle
+    await file.close()
+    const { write } = prototype
+    const failures: Error[] = []
+    const second = await Wal.open(folder, { onFull: (err) => { if (failures.push(err) === 2) prototype.write = write } })
+    openWals = [second]
+    prototype.write = () => Promise.reject(Object.assign(new Error('no space left on device'), { code: 'ENOSPC' }))
+    try {
+      const [{ entries }] = await Promise.all([second.recover(), second.append([entry(3)])])
+      expect(indexes(entries)).to.deep.equal([1, 2])
+    } finally {
+      prototype.write = write
+    }
+    expect(failures).to.have.length(2)
+    const third = await restart(second)
+    expect(indexes((await third.recover()).entries)).to.deep.equal([1, 2, 3])
+  })
+
   it('recovers vote and entries after a restart', async () => {
     const wal = await start()
     await wal.recover()
@@ -77,7 +102,7 @@
 
   it('shares one sync between all queued appends', async () => {
     let syncs = 0
-    const wal = await Wal.open(folder, () => { syncs += 1 })
+    const wal = await Wal.open(folder, { onSync: () => { syncs += 1 } })
     openWals.push(wal)
     await wal.recover()
     await Promise.all(Array.from({ length: 50 }, (_each, order) => wal.append([entry(order + 1)])))
