--- a/src/batch/fuzz/random.ts
+++ b/src/batch/fuzz/random.ts
@@ -24,4 +24,13 @@
   nextInt (bound: number): number {
     return Math.floor(this.next() * bound)
   }
+
+  /**
+   * Returns whether an event with a probability occurs. Draws no number when it can't.
+   *
+   * @param probability - 0 to 1
+   */
+  isBelow (probability: number): boolean {
+    return probability > 0 && this.next() < probability
+  }
 }
--- a/src/batch/fuzz/simFleet.ts
+++ b/src/batch/fuzz/simFleet.ts
@@ -1,34 +1,37 @@
 /** Simulated workers on a manual clock, with an oracle that checks which tasks they are ordered to run. */
-import type { Random } from './random.js'
 import type { ManualClock, Millis } from '../../clock/index.js'
-import type { WorkerPollAnswer, WorkerPollRequest, OrderAnswer, StartRequest, WorkerCalls } from '../../workers/types.js'
+import type { WorkerPollAnswer, WorkerPollRequest, OrderAnswer, StartRequest, StopRequest } from '../../workers/types.js'
 import type { EndedRun, RunOutcome, Step } from '../types.js'
 import { parseTask } from '../types.js'
+import type { DoneEnd, EndOracle, Violation } from './endOracle.js'
+import type { Random } from './random.js'
+import { SimCalls } from './simCalls.js'
+import type { GangHost, SimGangs } from './simGang.js'
+import { PLAIN_VARIANT, type CallFaults, type SimVariant } from './simVariant.js'
 
 interface SimRun {
   readonly run: number
   readonly startedAt: Millis
+  /** Infinite for a member of a gang, which ends with the others. */
   readonly endsAt: Millis
   readonly outcome: RunOutcome
 }
 
-/** Probabilities of call failures, each between 0 and 1. */
-export interface CallFaults {
-  /** The call is not executed and not answered. */
-  readonly requestLost: number
-  /** The call is executed but not answered. */
-  readonly answerLost: number
-  /** The call is not answered and executed seconds later. */
-  readonly late: number
+/** An end that the worker lists until it is acknowledged. */
+interface ListedEnd {
+  readonly listed: EndedRun
+  /** Set when the run has ended as done. */
+  readonly done: DoneEnd | null
 }
 
-/** Description of a violated invariant. */
-export type Violation = string
+/** Which calls pass while a worker is silent. `answers`: calls are executed and their answers are lost; `both`: none. */
+export type SilenceMode = 'answers' | 'both'
 
-const CALL_LATENCY_MS: Millis = 2
-const LATE_CALL_DELAY_MS: Millis = 2500
 const TICK_MS: Millis = 20
 
+/** Longest lease that a worker grants. */
+const MAX_LEASE_MS: Millis = 6000
+
 /** Start-up time of a long-running task. */
 const LONG_RUNNING_START_MS: Millis = 200
 
@@ -57,38 +60,97 @@
   /** Tasks whose outcome `done` was acknowledged. */
   readonly finishedTasks: Set<string>
   faults: CallFaults
+  /** Plain by default. */
+  readonly variant?: SimVariant
+  /** Checks the ends as well, where it is set. */
+  readonly oracle?: EndOracle
+  /** Prints what the workers do. */
+  readonly trace?: (event: string) => void
+  /** Set where steps may be gangs. */
+  readonly gangs?: SimGangs
 }
 
 /** One incarnation of a simulated worker. */
-export class SimWorker implements WorkerCalls {
+export class SimWorker extends SimCalls implements GangHost {
   isPartitioned = false
   readonly #world: SimWorld
+  readonly #variant: SimVariant
   readonly #cpuCapacity: number
+  readonly #readClock: () => Millis
   readonly #runs = new Map<string, SimRun>()
   readonly #revokedRuns = new Map<string, number>()
-  #unacknowledgedEnds: EndedRun[] = []
+  #unacknowledgedEnds: ListedEnd[] = []
   #lastEndSeq = 0
   #token = 0
+  /** On the worker's clock. */
   #leaseEnd: Millis = 0
   /** Run ends up to this one were not acknowledged before the lease expired, so the leader may ignore them. */
   #lapsedSeq = 0
+  #silence: SilenceMode | null = null
+  #silentUntil: Millis = 0
   #isDead = false
 
   /**
    * @param world - state shared by all workers
    * @param born - start time of this incarnation
    * @param cpuCapacity - thousandths of a core
+   * @param address - where the simulation calls it
+   * @param readClock - reads the worker's clock; that of the simulation by default
    */
-  constructor (world: SimWorld, readonly born: number, cpuCapacity: number) {
+  constructor (world: SimWorld, readonly born: number, cpuCapacity: number, readonly address = '', readClock: () => Millis = () => world.clock.now()) {
+    super(world)
     this.#world = world
+    this.#variant = world.variant ?? PLAIN_VARIANT
     this.#cpuCapacity = cpuCapacity
+    this.#readClock = readClock
     void this.#runUntilCrash()
   }
 
+  get isDead (): boolean {
+    return this.#isDead
+  }
+
+  /** Reading of the worker's clock. */
+  get clockMs (): Millis {
+    return this.#readClock()
+  }
+
+  /** Whether calls reach the worker. */
+  get isReachable (): boolean {
+    return !this.#isDead && !this.isPartitioned && !(this.#isSilent && this.#silence === 'both')
+  }
+
+  /** Whether answers of the worker arrive. */
+  get canAnswer (): boolean {
+    return !this.#isDead && !this.isCutOff
+  }
+
+  /** Whether nothing that the worker sends arrives. */
+  get isCutOff (): boolean {
+    return this.isPartitioned || this.#isSilent
+  }
+
+  get #isSilent (): boolean {
+    return this.#world.clock.now() < this.#silentUntil
+  }
+
+  /**
+   * Makes the worker silent for a while.
+   *
+   * @param mode - which calls pass
+   * @param ms - for how long; 0 ends its silence
+   */
+  fallSilent (mode: SilenceMode, ms: Millis): void {
+    if (ms > 0) this.#trace(`is silent for ${Math.round(ms)} ms: ${mode}`)
+    this.#silence = mode
+    this.#silentUntil = this.#world.clock.now() + ms
+  }
+
   /** Ends this incarnation without notice. */
   crash (): void {
     if (this.#isDead) return
     this.#isDead = true
+    this.#trace('crashes')
     for (const task of [...this.#runs.keys()]) {
       this.#world.crashesUnder.set(task, this.countCrashes(task) + 1)
       this.#removeRun(task)
@@ -99,63 +161,120 @@
     return this.#world.crashesUnder.get(task) ?? 0
   }
 
-  poll (req: WorkerPollRequest, timeoutMs: Millis): Promise<WorkerPollAnswer> {
-    return this.#simulateCall(timeoutMs, async () => {
-      if (req.token < this.#token) return { refusal: 'fenced' as const }
-      this.#token = req.token
-      if (req.leaseEndMs !== null) this.#leaseEnd = Math.max(this.#leaseEnd, req.leaseEndMs)
-      for (const { seq, task, outcome } of this.#unacknowledgedEnds) if (seq <= req.acknowledgedSeq && seq > this.#lapsedSeq && outcome === 'done') this.#world.finishedTasks.add(task)
-      this.#unacknowledgedEnds = this.#unacknowledgedEnds.filter(({ seq }) => seq > req.acknowledgedSeq)
-      const until = this.#world.clock.now() + req.waitMs
-      while (this.#unacknowledgedEnds.length === 0 && this.#world.clock.now() < until && !this.#isDead) await this.#world.clock.sleep(TICK_MS)
-      const now = this.#world.clock.now()
-      const running = [...this.#runs].map(([task, { run, startedAt, endsAt }]) => ({ task, run, checkpoint: '', percent: computePercent(now - startedAt, endsAt - startedAt), load: null }))
-      return { refusal: null, clockMs: now, born: this.born, running, ended: [...this.#unacknowledgedEnds] }
-    })
+  override findReceiver (): SimWorker {
+    return this
   }
 
-  start (req: StartRequest, timeoutMs: Millis): Promise<OrderAnswer> {
-    return this.#simulateCall(timeoutMs, () => {
-      const { clock } = this.#world
-      const clockMs = clock.now()
-      if (req.token < this.#token) return { refusal: 'fenced', clockMs }
-      this.#token = req.token
-      if (req.leaseEndMs < clockMs) return { refusal: 'late', clockMs }
-      this.#leaseEnd = Math.max(this.#leaseEnd, req.leaseEndMs)
-      if (this.#runs.get(req.task)?.run === req.run) return { refusal: null, clockMs }
-      if (req.run <= (this.#revokedRuns.get(req.task) ?? 0)) return { refusal: 'stale', clockMs }
-      this.#beginRun(req)
-      return { refusal: null, clockMs }
-    })
+  /** Answers a long poll. */
+  async answerPoll (req: WorkerPollRequest): Promise<WorkerPollAnswer> {
+    const { clock, gangs } = this.#world
+    this.#expireLeaseAtCall()
+    if (req.token < this.#token) return { refusal: 'fenced' as const }
+    this.#token = req.token
+    if (req.leaseEndMs !== null) this.#renewLease(req.leaseEndMs)
+    this.#acknowledge(req.acknowledgedSeq)
+    const until = clock.now() + req.waitMs
+    while (this.#unacknowledgedEnds.length === 0 && clock.now() < until && !this.#isDead) await clock.sleep(TICK_MS)
+    const now = clock.now()
+    const running = [...this.#runs].map(([task, { run, startedAt, endsAt }]) => ({ task, run, checkpoint: '', percent: gangs?.getPercent(task, run) ?? computePercent(now - startedAt, endsAt - startedAt), load: null }))
+    return { refusal: null, clockMs: this.clockMs, born: this.born, running, ended: this.#unacknowledgedEnds.slice(0, this.#variant.endsPerAnswer).map(({ listed }) => listed) }
   }
 
-  stop ({ token, task, run }: { readonly token: number, readonly task: string, readonly run: number }, timeoutMs: Millis): Promise<OrderAnswer> {
-    return this.#simulateCall(timeoutMs, () => {
-      const clockMs = this.#world.clock.now()
-      if (token < this.#token) return { refusal: 'fenced', clockMs }
-      const running = this.#runs.get(task)
-      if (running !== undefined && running.run <= run) this.#endRun(task, 'stopped')
-      this.#revokedRuns.set(task, Math.max(this.#revokedRuns.get(task) ?? 0, run))
-      return { refusal: null, clockMs }
-    })
+  /** Carries out a start. */
+  carryOutStart (req: StartRequest): OrderAnswer {
+    const { clockMs } = this
+    this.#expireLeaseAtCall()
+    if (req.token < this.#token) return { refusal: 'fenced', clockMs }
+    this.#token = req.token
+    if (req.leaseEndMs < clockMs) return { refusal: 'late', clockMs }
+    this.#renewLease(req.leaseEndMs)
+    if (this.#runs.get(req.task)?.run === req.run) return { refusal: null, clockMs }
+    if (req.run <= (this.#revokedRuns.get(req.task) ?? 0)) return { refusal: 'stale', clockMs }
+    this.#beginRun(req)
+    return { refusal: null, clockMs }
   }
 
-  pace (): Promise<OrderAnswer> {
-    return Promise.resolve({ refusal: null, clockMs: this.#world.clock.now() })
+  /** Carries out a stop. The run may go on for a short time, and end as done within it. */
+  carryOutStop ({ token, task, run }: StopRequest): OrderAnswer {
+    const { clock, random } = this.#world
+    const { stopGraceMs } = this.#variant
+    const { clockMs } = this
+    this.#expireLeaseAtCall()
+    if (token < this.#token) return { refusal: 'fenced', clockMs }
+    this.#token = token
+    const running = this.#runs.get(task)
+    this.#trace(`is told to stop run ${run} of ${task}`)
+    if (running !== undefined && running.run <= run) {
+      if (stopGraceMs === 0) this.endRun(task, 'stopped')
+      else clock.after(stopGraceMs * random.next(), () => { if (this.#runs.get(task) === running) this.endRun(task, 'stopped') })
+    }
+    this.#revokedRuns.set(task, Math.max(this.#revokedRuns.get(task) ?? 0, run))
+    return { refusal: null, clockMs }
   }
 
-  close (): void {}
+  endRun (task: string, outcome: RunOutcome): void {
+    const run = this.#runs.get(task)?.run ?? 0
+    this.#removeRun(task)
+    this.#revokedRuns.set(task, Math.max(this.#revokedRuns.get(task) ?? 0, run))
+    const done = outcome === 'done' ? this.#world.oracle?.recordDone(task, run) ?? { task, run, startsBefore: 0 } : null
+    this.#trace(`ends run ${run} of ${task}: ${outcome}, number ${this.#lastEndSeq + 1}`)
+    this.#unacknowledgedEnds.push({ listed: { seq: ++this.#lastEndSeq, task, run, outcome, checkpoint: '' }, done })
+  }
+
+  expireLease (): void {
+    if (this.#isDead || this.clockMs <= this.#leaseEnd) return
+    if (this.#lapsedSeq < this.#lastEndSeq) this.#trace('has lost its lease')
+    this.#lapsedSeq = this.#lastEndSeq
+    for (const task of [...this.#runs.keys()]) if (this.#runs.has(task)) this.endRun(task, 'lapsed')
+  }
+
+  #expireLeaseAtCall (): void {
+    if (this.#variant.isLeaseExact) this.expireLease()
+  }
+
+  #renewLease (leaseEndMs: Millis): void {
+    this.#leaseEnd = Math.max(this.#leaseEnd, Math.min(leaseEndMs, this.clockMs + MAX_LEASE_MS))
+  }
+
+  /** Forgets the ends up to a number, listed or not. */
+  #acknowledge (acknowledgedSeq: number): void {
+    for (const { listed: { seq, task, run }, done } of this.#unacknowledgedEnds) {
+      if (seq <= acknowledgedSeq) this.#trace(`forgets the end of run ${run} of ${task}: acknowledged up to ${acknowledgedSeq}`)
+      if (seq <= acknowledgedSeq && seq > this.#lapsedSeq && done !== null) {
+        this.#world.finishedTasks.add(done.task)
+        this.#world.oracle?.recordAcknowledged(done, this.#name)
+      }
+    }
+    this.#unacknowledgedEnds = this.#unacknowledgedEnds.filter(({ listed }) => listed.seq > acknowledgedSeq)
+  }
+
+  get #name (): string {
+    return `incarnation ${this.born} at ${this.address}`
+  }
+
+  #trace (event: string): void {
+    this.#world.trace?.(`${this.#name} ${event}`)
+  }
 
   #beginRun ({ task, run }: StartRequest): void {
-    const { clock, random, violations, runningOn, finishedTasks, getStep } = this.#world
+    this.#trace(`starts run ${run} of ${task}`)
+    const { clock, random, violations, runningOn, finishedTasks, oracle, gangs, getStep } = this.#world
     const others = runningOn.get(task) ?? new Set()
     if (others.size > 0) violations.push(`${task} is started while it is already running`)
-    if (finishedTasks.has(task)) violations.push(`${task} is started after its end was acknowledged`)
-    if (this.#world.crashingTasks.has(task)) this.#crashSoon(task)
-    const { estimateMs, isLasting } = getStep(task)
-    const tookMs = isLasting ? Number.POSITIVE_INFINITY : estimateMs * (0.5 + random.next())
-    this.#runs.set(task, { run, startedAt: clock.now(), endsAt: clock.now() + tookMs, outcome: random.next() < 0.05 ? 'failed' : 'done' })
+    if (oracle !== undefined) oracle.recordStart(task, run, this.#name)
+    else if (finishedTasks.has(task)) violations.push(`${task} is started after its end was acknowledged`)
     runningOn.set(task, others.add(this))
+    if (this.#world.crashingTasks.has(task)) this.#crashSoon(task)
+    const { estimateMs, isLasting, isGang } = getStep(task)
+    const replaced = this.#runs.get(task)
+    if (gangs !== undefined && isGang) {
+      this.#runs.set(task, { run, startedAt: clock.now(), endsAt: Number.POSITIVE_INFINITY, outcome: 'done' })
+      if (replaced !== undefined) gangs.leave(task, replaced.run, this)
+      gangs.join(task, run, this)
+    } else {
+      const tookMs = isLasting ? Number.POSITIVE_INFINITY : estimateMs * (0.5 + random.next())
+      this.#runs.set(task, { run, startedAt: clock.now(), endsAt: clock.now() + tookMs, outcome: random.next() < 0.05 ? 'failed' : 'done' })
+    }
     const used = [...this.#runs.keys()].reduce((sum, other) => sum + getStep(other).cpu, 0)
     if (used > this.#cpuCapacity) violations.push(`${task} exceeds the capacity of its worker`)
   }
@@ -174,47 +293,22 @@
     })
   }
 
-  #endRun (task: string, outcome: RunOutcome): void {
-    const run = this.#runs.get(task)?.run ?? 0
-    this.#removeRun(task)
-    this.#revokedRuns.set(task, run)
-    this.#unacknowledgedEnds.push({ seq: ++this.#lastEndSeq, task, run, outcome, checkpoint: '' })
-  }
-
   #removeRun (task: string): void {
+    const { runningOn, gangs } = this.#world
+    const removed = this.#runs.get(task)
     this.#runs.delete(task)
-    this.#world.runningOn.get(task)?.delete(this)
+    runningOn.get(task)?.delete(this)
+    if (removed !== undefined) gangs?.leave(task, removed.run, this)
   }
 
   async #runUntilCrash (): Promise<void> {
     const { clock } = this.#world
     while (!this.#isDead) {
-      const now = clock.now()
-      if (now > this.#leaseEnd) this.#lapsedSeq = this.#lastEndSeq
-      for (const [task, { endsAt, outcome }] of [...this.#runs]) {
-        if (now > this.#leaseEnd) this.#endRun(task, 'lapsed')
-        else if (now >= endsAt) this.#endRun(task, outcome)
-      }
+      this.expireLease()
+      for (const [task, { endsAt, outcome }] of [...this.#runs]) if (clock.now() >= endsAt) this.endRun(task, outcome)
       await clock.sleep(TICK_MS)
     }
   }
-
-  async #simulateCall<T> (timeoutMs: Millis, run: () => Promise<T> | T): Promise<T> {
-    const { clock, random, faults } = this.#world
-    const isReached = !this.#isDead && !this.isPartitioned
-    const chance = random.next()
-    await clock.sleep(CALL_LATENCY_MS)
-    const isReceived = isReached && !this.#isDead
-    if (isReceived && chance >= faults.requestLost + faults.answerLost + faults.late) {
-      const answer = await run()
-      if (!this.isPartitioned && !this.#isDead) return answer
-    } else if (isReceived && chance >= faults.requestLost) {
-      const isLate = chance < faults.requestLost + faults.late
-      void clock.sleep(isLate ? LATE_CALL_DELAY_MS * (1 + random.next()) : 0).then(() => this.#isDead ? undefined : run())
-    }
-    await clock.sleep(timeoutMs)
-    throw new Error('no answer')
-  }
 }
 
 /** Returns the progress of a run, or of the start-up for a long-running task, in percent. */
--- /dev/null
+++ b/src/batch/fuzz/simVariant.ts
@@ -0,0 +1,79 @@
+/** Variants of the simulation: its faults and the jobs that are submitted. */
+import type { Millis } from '../../clock/index.js'
+
+/** Probabilities of call failures, each between 0 and 1. */
+export interface CallFaults {
+  /** The call is not executed and not answered. */
+  readonly requestLost: number
+  /** The call is executed but not answered. */
+  readonly answerLost: number
+  /** The call is not answered and executed seconds later. */
+  readonly late: number
+}
+
+/** Bounds of a time that is drawn evenly, in milliseconds. */
+export type MillisRange = readonly [min: Millis, max: Millis]
+
+/** What a simulation does beside the faults of all variants. A share of 0 draws no random numbers. */
+export interface SimVariant {
+  readonly faultPhaseMs: Millis
+  readonly faults: CallFaults
+  /** Delay of late calls. */
+  readonly lateDelayMs: MillisRange
+  /** Whether a late call is carried out by the next incarnation at the address; otherwise it is lost with the one that it was sent to. */
+  readonly doLateCallsOutlive: boolean
+  /** Probability for each step of the simulation that a worker is restarted. */
+  readonly restartChance: number
+  /** Share of the restarted workers that keep their address, so that late calls to the earlier incarnation reach the next one. */
+  readonly keptAddressShare: number
+  /** Share of the jobs whose first step is a gang. */
+  readonly gangShare: number
+  /** Probability for each step of the simulation that a worker falls silent. */
+  readonly silenceChance: number
+  readonly silenceMs: MillisRange
+  /** Lowest rate of the workers' clocks, which begin anew with each incarnation; null: the clock of the simulation. */
+  readonly slowestClockRate: number | null
+  /** Whether a lease that has expired by the time of a call is over even if the worker has not looked at it since. */
+  readonly isLeaseExact: boolean
+  /** Longest time between the confirmation of a stop and the end of the run. */
+  readonly stopGraceMs: Millis
+  /** Maximum number of run ends in an answer to a long poll. */
+  readonly endsPerAnswer: number
+}
+
+/** No faults of calls. */
+export const NO_FAULTS: CallFaults = { requestLost: 0, answerLost: 0, late: 0 }
+
+/** Jobs of single tasks, and workers on the clock of the simulation. */
+export const PLAIN_VARIANT: SimVariant = {
+  faultPhaseMs: 12_000,
+  faults: { requestLost: 0.04, answerLost: 0.04, late: 0.03 },
+  lateDelayMs: [2500, 5000],
+  doLateCallsOutlive: false,
+  restartChance: 0.02,
+  keptAddressShare: 0,
+  gangShare: 0,
+  silenceChance: 0,
+  silenceMs: [0, 0],
+  slowestClockRate: null,
+  isLeaseExact: false,
+  stopGraceMs: 0,
+  endsPerAnswer: Number.POSITIVE_INFINITY
+}
+
+/** Gangs, silences of about the length of a lease, slow clocks, very late calls, and restarts at the same address. */
+export const GANG_VARIANT: SimVariant = {
+  faultPhaseMs: 20_000,
+  faults: { requestLost: 0.03, answerLost: 0.04, late: 0.05 },
+  lateDelayMs: [2000, 12_000],
+  doLateCallsOutlive: true,
+  restartChance: 0.04,
+  keptAddressShare: 0.5,
+  gangShare: 1 / 3,
+  silenceChance: 0.04,
+  silenceMs: [2500, 4500],
+  slowestClockRate: 0.98,
+  isLeaseExact: true,
+  stopGraceMs: 200,
+  endsPerAnswer: Number.POSITIVE_INFINITY
+}
--- a/src/batch/fuzz/simulation.ts
+++ b/src/batch/fuzz/simulation.ts
@@ -1,5 +1,5 @@
 /** Simulates a fleet under successive leaders, for tests. */
-import { ManualClock } from '../../clock/index.js'
+import { ManualClock, type Millis } from '../../clock/index.js'
 import { Notifier } from '../../clock/notifier/index.js'
 import { EventLog } from '../../logs/eventLog/index.js'
 import { Metrics } from '../../metrics/index.js'
@@ -14,15 +14,18 @@
 import { BatchState } from '../state/index.js'
 import type { BatchCommand } from '../state/records.js'
 import { workerKey, type Step } from '../types.js'
+import { EndOracle, type Violation } from './endOracle.js'
 import { Random } from './random.js'
-import { SimRelays } from './simRelays.js'
+import { AddressCalls } from './simCalls.js'
 import { createStepLookup, SimWorker, type SimWorld } from './simFleet.js'
+import { SimGangs } from './simGang.js'
+import { SimRelays } from './simRelays.js'
+import { NO_FAULTS, PLAIN_VARIANT, type SimVariant } from './simVariant.js'
 
 const WORKERS = 4
 const RACKS = 2
 const RELAYS = 3
 const CPU_CAPACITY = 4000
-const FAULT_PHASE_MS = 12_000
 const RECOVERY_PHASE_MS = 60_000
 const STEP_MS = 100
 
@@ -30,8 +33,8 @@
 const RESTART_MS = [500, 5000] as const
 
 const COMMIT_MS = 6
-const NO_FAULTS = { requestLost: 0, answerLost: 0, late: 0 }
-const FAULTS = { requestLost: 0.04, answerLost: 0.04, late: 0.03 }
+
+const MAX_GANG_SIZE = 4
 
 /** Simulates successive leaders over one replicated state, with workers and calls that fail. */
 export class Simulation {
@@ -40,6 +43,7 @@
   readonly world: SimWorld
   readonly #random: Random
   readonly #crashingShare: number
+  readonly #variant: SimVariant
   readonly #steps = new Map<string, Step[]>()
   readonly #incarnations: SimWorker[] = []
   readonly #relays: SimRelays
@@ -52,11 +56,31 @@
   /**
    * @param seed - seed of all random choices
    * @param crashingShare - share of the jobs with a task that crashes each worker that starts it
+   * @param variant - faults and jobs
    */
-  constructor (seed: number, crashingShare = 0) {
+  constructor (seed: number, crashingShare = 0, variant = PLAIN_VARIANT) {
     this.#random = new Random(seed)
     this.#crashingShare = crashingShare
-    this.world = { crashingTasks: new Set(), crashesUnder: new Map(), startsAfterThirdCrash: new Map(), onCrash: (worker) => { this.#restartLater(worker) }, clock: this.clock, random: this.#random, violations: [], getStep: createStepLookup(this.#steps), runningOn: new Map(), finishedTasks: new Set(), faults: NO_FAULTS }
+    this.#variant = variant
+    const getStep = createStepLookup(this.#steps)
+    const violations: Violation[] = []
+    this.world = {
+      crashingTasks: new Set(),
+      crashesUnder: new Map(),
+      startsAfterThirdCrash: new Map(),
+      onCrash: (worker) => { this.#restartLater(worker) },
+      clock: this.clock,
+      random: this.#random,
+      variant,
+      violations,
+      oracle: new EndOracle(violations, (task) => getStep(task).isGang),
+      gangs: new SimGangs(this.clock, this.#random, getStep),
+      getStep,
+      runningOn: new Map(),
+      finishedTasks: new Set(),
+      trace: (event) => { printLog(`${this.clock.now()} ${event}`) },
+      faults: NO_FAULTS
+    }
     this.#relays = new SimRelays(this.clock, this.#random, (worker) => this.#connect(worker), RELAYS)
     this.#apply({ type: 'configure', at: this.clock.wall(), config: createConfig(1, [createQueue({ maxAttempts: 50 })]) })
     for (let i = 0; i < WORKERS; i++) this.#startIncarnation(i)
@@ -68,7 +92,7 @@
     this.#registry?.end()
     this.#term += 1
     const end = new AbortController()
-    const log = new EventLog('fuzz', this.clock, { writableLength: 0, write: (line: string) => { if (process.env.SHOW_LOGS !== undefined) console.log(line) } })
+    const log = new EventLog('fuzz', this.clock, { writableLength: 0, write: printLog })
     const context: TermContext = {
       clock: this.clock,
       log,
@@ -100,15 +124,18 @@
 
   async simulate (): Promise<void> {
     await this.changeLeader()
-    this.world.faults = FAULTS
-    for (let at = 0; at < FAULT_PHASE_MS; at += STEP_MS) {
+    this.world.faults = this.#variant.faults
+    for (let at = 0; at < this.#variant.faultPhaseMs; at += STEP_MS) {
       this.#injectFaults()
       if (this.#random.next() < 0.015) await this.changeLeader()
       await this.clock.advance(STEP_MS)
     }
     this.world.faults = NO_FAULTS
     this.#relays.recover()
-    for (const incarnation of this.#incarnations) incarnation.isPartitioned = false
+    for (const incarnation of this.#incarnations) {
+      incarnation.isPartitioned = false
+      incarnation.fallSilent('both', 0)
+    }
     for (let at = 0; at < RECOVERY_PHASE_MS && this.state.activeJobs.size > 0; at += STEP_MS) {
       await this.#reportAll()
       await this.clock.advance(STEP_MS)
@@ -121,23 +148,31 @@
     const random = this.#random
     if (random.next() < 0.3) this.#submit()
     if (random.next() < 0.02) this.#cancel()
-    if (random.next() < 0.02) this.#startIncarnation(random.nextInt(WORKERS))
+    if (random.next() < this.#variant.restartChance) this.#startIncarnation(random.nextInt(WORKERS))
     if (random.next() < 0.03) for (const incarnation of this.#incarnations.slice(-1)) incarnation.isPartitioned = !incarnation.isPartitioned
     if (random.next() < 0.08) this.#relays.injectFault()
+    if (random.isBelow(this.#variant.silenceChance)) this.#silenceWorker()
     void this.#reportAll()
   }
 
-  /** Connects to the incarnation that a worker's address names. */
-  #connect ({ address }: WorkerAddress): SimWorker {
-    return this.#incarnations.find(({ born }) => address === formatAddress(born)) as SimWorker
+  /** Connects to the address of a worker, where another incarnation may answer later. */
+  #connect ({ address }: WorkerAddress): AddressCalls {
+    return new AddressCalls(this.world, () => this.#incarnations.findLast((incarnation) => incarnation.address === address) as SimWorker)
+  }
+
+  #silenceWorker (): void {
+    const [minMs, maxMs] = this.#variant.silenceMs
+    const worker = this.#findLatest(this.#random.nextInt(WORKERS))
+    worker?.fallSilent(this.#random.next() < 0.5 ? 'answers' : 'both', minMs + this.#random.next() * (maxMs - minMs))
   }
 
   #submit (): void {
     const id = (this.#steps.size + 1).toString(16).padStart(16, '0')
-    const first = createStep({ count: 1 + this.#random.nextInt(5), cpu: 500 + this.#random.nextInt(2000), estimateMs: 100 + this.#random.nextInt(900), maxPerWorker: this.#random.nextInt(3) })
+    const task = createStep({ count: 1 + this.#random.nextInt(5), cpu: 500 + this.#random.nextInt(2000), estimateMs: 100 + this.#random.nextInt(900), maxPerWorker: this.#random.nextInt(3) })
+    const first = this.#random.isBelow(this.#variant.gangShare) ? createStep({ ...task, isGang: true, count: 2 + this.#random.nextInt(MAX_GANG_SIZE - 1), cpu: task.cpu / 2 }) : task
     const steps = [first, createStep({ after: [0], estimateMs: 200 })]
     this.#steps.set(id, steps)
-    if (this.#crashingShare > 0 && this.#random.next() < this.#crashingShare) this.world.crashingTasks.add(`${id}.0.0.${this.#random.nextInt(first.count)}`)
+    if (this.#random.isBelow(this.#crashingShare)) this.world.crashingTasks.add(`${id}.0.0.${this.#random.nextInt(first.count)}`)
     this.#apply({ type: 'accept', at: this.clock.wall(), jobs: [createJob(id, { steps })] })
     this.#workNotifier?.notify()
   }
@@ -151,7 +186,17 @@
   #startIncarnation (i: number): void {
     const previous = this.#findLatest(i)
     previous?.crash()
-    this.#incarnations.push(new SimWorker(this.world, (this.#incarnations.length + 1) * WORKERS + i, CPU_CAPACITY))
+    const born = (this.#incarnations.length + 1) * WORKERS + i
+    const address = previous !== undefined && this.#random.isBelow(this.#variant.keptAddressShare) ? previous.address : formatAddress(born)
+    this.#incarnations.push(new SimWorker(this.world, born, CPU_CAPACITY, address, this.#createWorkerClock()))
+  }
+
+  #createWorkerClock (): () => Millis {
+    const { slowestClockRate } = this.#variant
+    if (slowestClockRate === null) return () => this.clock.now()
+    const startedAt = this.clock.now()
+    const rate = slowestClockRate + this.#random.next() * (1 - slowestClockRate)
+    return () => Math.floor((this.clock.now() - startedAt) * rate)
   }
 
   /** Restarts a worker some seconds after its crash, unless it was restarted before. */
@@ -170,8 +215,8 @@
     const registry = this.#registry
     for (let i = 0; i < WORKERS; i++) {
       const incarnation = this.#findLatest(i)
-      if (incarnation === undefined || incarnation.isPartitioned || registry === null) continue
-      const { isDraining: _, ...record } = createWorker(`w${i}`, { born: incarnation.born, address: formatAddress(incarnation.born), labels: ['a', `r${i % RACKS}`], room: { cpu: CPU_CAPACITY, memory: 100_000, accelerators: 0 } })
+      if (incarnation === undefined || incarnation.isCutOff || registry === null) continue
+      const { isDraining: _, ...record } = createWorker(`w${i}`, { born: incarnation.born, address: incarnation.address, labels: ['a', `r${i % RACKS}`], room: { cpu: CPU_CAPACITY, memory: 100_000, accelerators: 0 } })
       void registry.report({ ...record, state: 'ready', drainLeftMs: null, sequence: this.clock.now() }).catch(() => {})
     }
     await Promise.resolve()
@@ -182,6 +227,11 @@
   }
 }
 
+/** Prints the log of the leader, and what the workers do, when it is asked for. */
+function printLog (line: string): void {
+  if (process.env.SHOW_LOGS !== undefined) console.log(line)
+}
+
 function formatAddress (born: number): string {
   return `incarnation-${born}:80`
 }
--- a/src/batch/fuzz/test.ts
+++ b/src/batch/fuzz/test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import { Simulation } from './simulation.js'
+import { GANG_VARIANT } from './simVariant.js'
 
 const RUNS = Number(process.env.FUZZ_RUNS ?? 25)
 /** Share of the jobs with a task that crashes its workers. */
@@ -33,3 +34,15 @@
     })
   }
 })
+
+describe('fuzz: gangs, silent workers, slow clocks and restarts at the same address', () => {
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed++) {
+    it(`runs each task and each gang once and completes every job, seed ${seed}`, async () => {
+      const simulation = new Simulation(seed, 0, GANG_VARIANT)
+      await simulation.simulate()
+      expect(simulation.world.violations).to.deep.equal([])
+      expect([...simulation.state.activeJobs.keys()], 'jobs that have not ended').to.deep.equal([])
+      expect([...simulation.state.data.jobs.values()].some(({ state, steps }) => state === 'completed' && steps.some(({ isGang }) => isGang))).to.equal(true)
+    })
+  }
+})
