--- a/src/batch/fuzz/endOracle.ts
+++ b/src/batch/fuzz/endOracle.ts
@@ -70,11 +70,12 @@
    *
    * @param end - the end, since which the lease of its worker has not expired
    * @param worker - incarnation of the worker
+   * @param isListed - whether the worker has listed the end
    */
-  recordAcknowledged ({ task, run, startsBefore }: DoneEnd, worker: string): void {
+  recordAcknowledged ({ task, run, startsBefore }: DoneEnd, worker: string, isListed: boolean): void {
     const name = this.#unitName(task)
     const unit = this.#unitOf(name)
-    const end = `the end of run ${run} of ${task} on ${worker}`
+    const end = `the end of run ${run} of ${task} on ${worker}${isListed ? '' : ', which it never listed'}`
     if (unit.starts > startsBefore) this.#violations.push(`${name} was started after an end that is acknowledged later: ${unit.lastStart}, after ${end}`)
     unit.finishedBy ??= end
   }
--- a/src/batch/fuzz/simFleet.ts
+++ b/src/batch/fuzz/simFleet.ts
@@ -19,9 +19,11 @@
 
 /** An end that the worker lists until it is acknowledged. */
 interface ListedEnd {
-  readonly listed: EndedRun
+  readonly ended: EndedRun
   /** Set when the run has ended as done. */
   readonly done: DoneEnd | null
+  /** Whether an answer has listed it, even one that was lost. */
+  isListed: boolean
 }
 
 /** Which calls pass while a worker is silent. `answers`: calls are executed and their answers are lost; `both`: none. */
@@ -177,7 +179,9 @@
     while (this.#unacknowledgedEnds.length === 0 && clock.now() < until && !this.#isDead) await clock.sleep(TICK_MS)
     const now = clock.now()
     const running = [...this.#runs].map(([task, { run, startedAt, endsAt }]) => ({ task, run, checkpoint: '', percent: gangs?.getPercent(task, run) ?? computePercent(now - startedAt, endsAt - startedAt), load: null }))
-    return { refusal: null, clockMs: this.clockMs, born: this.born, running, ended: this.#unacknowledgedEnds.slice(0, this.#variant.endsPerAnswer).map(({ listed }) => listed) }
+    const listedEnds = this.#unacknowledgedEnds.slice(0, this.#variant.endsPerAnswer)
+    for (const end of listedEnds) end.isListed = true
+    return { refusal: null, clockMs: this.clockMs, born: this.born, running, ended: listedEnds.map(({ ended }) => ended) }
   }
 
   /** Carries out a start. */
@@ -215,10 +219,11 @@
   endRun (task: string, outcome: RunOutcome): void {
     const run = this.#runs.get(task)?.run ?? 0
     this.#removeRun(task)
+    if (this.#isDead) return
     this.#revokedRuns.set(task, Math.max(this.#revokedRuns.get(task) ?? 0, run))
     const done = outcome === 'done' ? this.#world.oracle?.recordDone(task, run) ?? { task, run, startsBefore: 0 } : null
     this.#trace(`ends run ${run} of ${task}: ${outcome}, number ${this.#lastEndSeq + 1}`)
-    this.#unacknowledgedEnds.push({ listed: { seq: ++this.#lastEndSeq, task, run, outcome, checkpoint: '' }, done })
+    this.#unacknowledgedEnds.push({ ended: { seq: ++this.#lastEndSeq, task, run, outcome, checkpoint: '' }, done, isListed: false })
   }
 
   expireLease (): void {
@@ -233,19 +238,21 @@
   }
 
   #renewLease (leaseEndMs: Millis): void {
-    this.#leaseEnd = Math.max(this.#leaseEnd, Math.min(leaseEndMs, this.clockMs + MAX_LEASE_MS))
+    const longestEnd = this.clockMs + MAX_LEASE_MS
+    if (leaseEndMs > longestEnd) this.#trace(`shortens a lease of ${leaseEndMs - this.clockMs} ms`)
+    this.#leaseEnd = Math.max(this.#leaseEnd, Math.min(leaseEndMs, longestEnd))
   }
 
   /** Forgets the ends up to a number, listed or not. */
   #acknowledge (acknowledgedSeq: number): void {
-    for (const { listed: { seq, task, run }, done } of this.#unacknowledgedEnds) {
+    for (const { ended: { seq, task, run }, done, isListed } of this.#unacknowledgedEnds) {
       if (seq <= acknowledgedSeq) this.#trace(`forgets the end of run ${run} of ${task}: acknowledged up to ${acknowledgedSeq}`)
       if (seq <= acknowledgedSeq && seq > this.#lapsedSeq && done !== null) {
         this.#world.finishedTasks.add(done.task)
-        this.#world.oracle?.recordAcknowledged(done, this.#name)
+        this.#world.oracle?.recordAcknowledged(done, this.#name, isListed)
       }
     }
-    this.#unacknowledgedEnds = this.#unacknowledgedEnds.filter(({ listed }) => listed.seq > acknowledgedSeq)
+    this.#unacknowledgedEnds = this.#unacknowledgedEnds.filter(({ ended }) => ended.seq > acknowledgedSeq)
   }
 
   get #name (): string {
--- a/src/batch/fuzz/simVariant.ts
+++ b/src/batch/fuzz/simVariant.ts
@@ -24,6 +24,10 @@
   readonly doLateCallsOutlive: boolean
   /** Probability for each step of the simulation that a worker is restarted. */
   readonly restartChance: number
+  /** Time for which a restarted worker is away; 0 draws no random number. */
+  readonly restartMs: MillisRange
+  /** Whether reports of a crashed worker still arrive until its next incarnation has begun. */
+  readonly hasLateReports: boolean
   /** Share of the restarted workers that keep their address, so that late calls to the earlier incarnation reach the next one. */
   readonly keptAddressShare: number
   /** Share of the jobs whose first step is a gang. */
@@ -51,6 +55,8 @@
   lateDelayMs: [2500, 5000],
   doLateCallsOutlive: false,
   restartChance: 0.02,
+  restartMs: [0, 0],
+  hasLateReports: true,
   keptAddressShare: 0,
   gangShare: 0,
   silenceChance: 0,
@@ -68,6 +74,8 @@
   lateDelayMs: [2000, 12_000],
   doLateCallsOutlive: true,
   restartChance: 0.04,
+  restartMs: [100, 2000],
+  hasLateReports: false,
   keptAddressShare: 0.5,
   gangShare: 1 / 3,
   silenceChance: 0.04,
--- a/src/batch/fuzz/simulation.ts
+++ b/src/batch/fuzz/simulation.ts
@@ -20,7 +20,7 @@
 import { createStepLookup, SimWorker, type SimWorld } from './simFleet.js'
 import { SimGangs } from './simGang.js'
 import { SimRelays } from './simRelays.js'
-import { NO_FAULTS, PLAIN_VARIANT, type SimVariant } from './simVariant.js'
+import { NO_FAULTS, PLAIN_VARIANT, type MillisRange, type SimVariant } from './simVariant.js'
 
 const WORKERS = 4
 const RACKS = 2
@@ -30,7 +30,7 @@
 const STEP_MS = 100
 
 /** Bounds of the time after which a worker that a task has crashed is back. */
-const RESTART_MS = [500, 5000] as const
+const RESTART_MS: MillisRange = [500, 5000]
 
 const COMMIT_MS = 6
 
@@ -68,7 +68,7 @@
       crashingTasks: new Set(),
       crashesUnder: new Map(),
       startsAfterThirdCrash: new Map(),
-      onCrash: (worker) => { this.#restartLater(worker) },
+      onCrash: (worker) => { this.#restartLater(worker, RESTART_MS) },
       clock: this.clock,
       random: this.#random,
       variant,
@@ -148,7 +148,7 @@
     const random = this.#random
     if (random.next() < 0.3) this.#submit()
     if (random.next() < 0.02) this.#cancel()
-    if (random.next() < this.#variant.restartChance) this.#startIncarnation(random.nextInt(WORKERS))
+    if (random.next() < this.#variant.restartChance) this.#restart(random.nextInt(WORKERS))
     if (random.next() < 0.03) for (const incarnation of this.#incarnations.slice(-1)) incarnation.isPartitioned = !incarnation.isPartitioned
     if (random.next() < 0.08) this.#relays.injectFault()
     if (random.isBelow(this.#variant.silenceChance)) this.#silenceWorker()
@@ -182,6 +182,18 @@
     if (job !== undefined) this.#apply({ type: 'cancel', at: this.clock.wall(), ids: [job] })
   }
 
+  /** Crashes a worker and restarts it, at once or after a time. */
+  #restart (i: number): void {
+    const { restartMs } = this.#variant
+    const worker = this.#findLatest(i)
+    if (restartMs[1] === 0 || worker === undefined) {
+      this.#startIncarnation(i)
+    } else if (!worker.isDead) {
+      worker.crash()
+      this.#restartLater(worker, restartMs)
+    }
+  }
+
   /** Crashes a worker and restarts it under the same id, with a later start time than all incarnations so far. */
   #startIncarnation (i: number): void {
     const previous = this.#findLatest(i)
@@ -200,9 +212,9 @@
   }
 
   /** Restarts a worker some seconds after its crash, unless it was restarted before. */
-  #restartLater (worker: SimWorker): void {
+  #restartLater (worker: SimWorker, [minMs, maxMs]: MillisRange): void {
     const i = worker.born % WORKERS
-    void this.clock.sleep(RESTART_MS[0] + this.#random.next() * (RESTART_MS[1] - RESTART_MS[0])).then(() => {
+    void this.clock.sleep(minMs + this.#random.next() * (maxMs - minMs)).then(() => {
       if (this.#findLatest(i) === worker) this.#startIncarnation(i)
     })
   }
@@ -216,6 +228,7 @@
     for (let i = 0; i < WORKERS; i++) {
       const incarnation = this.#findLatest(i)
       if (incarnation === undefined || incarnation.isCutOff || registry === null) continue
+      if (incarnation.isDead && !this.#variant.hasLateReports) continue
       const { isDraining: _, ...record } = createWorker(`w${i}`, { born: incarnation.born, address: incarnation.address, labels: ['a', `r${i % RACKS}`], room: { cpu: CPU_CAPACITY, memory: 100_000, accelerators: 0 } })
       void registry.report({ ...record, state: 'ready', drainLeftMs: null, sequence: this.clock.now() }).catch(() => {})
     }
