--- a/src/batch/fuzz/endOracle.ts
+++ b/src/batch/fuzz/endOracle.ts
@@ -23,7 +23,7 @@
  * Watches all workers. A unit is a task, or all tasks of a gang, since the end of one member stands for all.
  *
  * An end is taken note of when an acknowledgement reaches its number, whether or not the worker has listed it. The caller leaves out
- * the ends before which the lease of their worker has expired since.
+ * an end if the lease of its worker has expired since.
  */
 export class EndOracle {
   readonly #violations: Violation[]
