--- a/src/batch/fuzz/simVariant.ts
+++ b/src/batch/fuzz/simVariant.ts
@@ -83,5 +83,5 @@
   slowestClockRate: 0.98,
   isLeaseExact: true,
   stopGraceMs: 200,
-  endsPerAnswer: Number.POSITIVE_INFINITY
+  endsPerAnswer: 3
 }
