End the sessions of earlier incarnations when a leader takes over

What callers could see: a task that runs twice at once. Change: as after a report, the later incarnation ends the sessions of the earlier ones.

--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -67,6 +67,7 @@
     const isBusy = ([key]: readonly [string, WorkerRecord]): boolean => context.state.runsOn(key).size > 0
     // The first polls are sent in this order.
     for (const [, record] of [...records.filter(isBusy), ...records.filter((entry) => !isBusy(entry))]) this.#openSession(record)
+    for (const [, record] of records) this.#endEarlierIncarnations(record)
   }
 
   /** All sessions, including those of workers that are gone but not dismissed yet. */
--- /dev/null
+++ b/src/workers/takeover/test.ts
@@ -0,0 +1,78 @@
+/** Tests of sessions with several incarnations of a worker, from the registry down to the calls. */
+import { expect } from 'chai'
+import { createJob, createStep, createWorker } from '../../batch/fixtures/index.js'
+import type { TermContext } from '../../batch/leader/context.js'
+import { BatchState } from '../../batch/state/index.js'
+import type { BatchCommand, WorkerRecord } from '../../batch/state/records.js'
+import { ManualClock } from '../../clock/index.js'
+import { EventLog } from '../../logs/eventLog/index.js'
+import { Metrics } from '../../metrics/index.js'
+import { WorkerRegistry } from '../registry/index.js'
+import type { WorkerSession } from '../session/index.js'
+import type { WorkerCalls, WorkerPollRequest } from '../types.js'
+
+const JOB = '00000000000000aa'
+const TASK = `${JOB}.0.0.0`
+const RUNNING = { task: TASK, run: 1, checkpoint: '', percent: 10, load: null }
+const ANSWER_MS = 5
+
+/** A term of a leader that takes over a state in which a run is placed on one of the workers. */
+function createTerm (workers: readonly WorkerRecord[], runOn: string, connect: (record: WorkerRecord, clock: ManualClock) => Partial<WorkerCalls>, restartedAgoMs = 0) {
+  const clock = new ManualClock()
+  const state = new BatchState()
+  const end = new AbortController()
+  const apply = (command: unknown): unknown => state.apply(0, command as BatchCommand)
+  const context: TermContext = {
+    clock,
+    state,
+    log: new EventLog('test', clock, { writableLength: 0, write: () => {} }),
+    metrics: new Metrics(),
+    term: 2,
+    holder: 'leader',
+    mayOrder: () => true,
+    signal: end.signal,
+    propose: async (type, input) => apply({ type, at: clock.wall(), ...input })
+  }
+  for (const worker of workers) apply({ type: 'enrol', at: clock.wall() - restartedAgoMs, workers: [worker] })
+  apply({ type: 'accept', at: 0, jobs: [createJob(JOB, { steps: [createStep()] })] })
+  apply({ type: 'place', at: 0, placements: [{ task: TASK, run: 1, worker: runOn }] })
+  const registry = new WorkerRegistry(context, { connect: (record) => ({ close: () => {}, ...connect(record, clock) }) as WorkerCalls, countCallers: () => 4 }, () => {})
+  const sessionOf = (key: string): WorkerSession => registry.sessionOf(key) as WorkerSession
+  /** Returns how long it takes until the run is listed as lost, or null when it is not within a time. */
+  const waitForLoss = async (key: string, maxMs: number): Promise<number | null> => {
+    for (let waitedMs = 0; waitedMs < maxMs; waitedMs += 100) {
+      await clock.advance(100)
+      if (registry.listLostRuns(sessionOf(key)).length > 0) return waitedMs + 100
+    }
+    return null
+  }
+  return { clock, registry, sessionOf, waitForLoss, stop: () => { end.abort(); registry.end() } }
+}
+
+describe('a leader that takes over workers with several incarnations', () => {
+  // The session with the earlier incarnation was refused for its lower token, and took that for silence.
+  it('frees no run of an earlier incarnation that the next one still runs (TWICE)', async () => {
+    let seenToken = 0
+    let isFirst = true
+    const { waitForLoss, sessionOf, stop } = createTerm([createWorker('w', { born: 1 }), createWorker('w', { born: 2 })], 'w@1', (record, clock) => ({
+      poll: async (req: WorkerPollRequest) => {
+        await clock.sleep(ANSWER_MS)
+        if (record.born === 1 && isFirst) {
+          isFirst = false
+          throw new Error('lost')
+        }
+        if (req.token < seenToken) return { refusal: 'fenced' as const }
+        seenToken = req.token
+        await clock.sleep(req.waitMs)
+        return { refusal: null, clockMs: clock.now(), born: 2, running: [RUNNING], ended: [], hasMoreEnds: false }
+      },
+      stop: async (_req, timeoutMs) => {
+        await clock.sleep(timeoutMs)
+        throw new Error('no answer')
+      }
+    }))
+    expect(await waitForLoss('w@1', 6000)).to.equal(null)
+    expect(sessionOf('w@1').goneReason).to.be.a('string')
+    stop()
+  })
+})
