Assume the longest lease only of a worker that has just restarted under its id

What callers could see: tasks of a lost worker that wait for 12 s instead of 3 s. Change: the state keeps when an incarnation was first recorded; the longest lease is assumed for 24 s after that.

--- a/src/batch/state/incarnations.ts
+++ b/src/batch/state/incarnations.ts
@@ -12,8 +12,9 @@
 export function recordIncarnation (data: BatchData, { id, born }: WorkerRecord, at: Millis): void {
   const latest = data.incarnations.get(id)
   if (latest !== undefined && latest.born > born) return
-  const restarts = latest === undefined ? 0 : latest.born < born ? latest.restarts + 1 : latest.restarts
-  data.incarnations.set(id, { born, restarts, seenAt: at })
+  if (latest === undefined) data.incarnations.set(id, { born, restarts: 0, since: at, seenAt: at })
+  else if (latest.born === born) data.incarnations.set(id, { ...latest, seenAt: at })
+  else data.incarnations.set(id, { born, restarts: latest.restarts + 1, since: at, seenAt: at })
 }
 
 /**
@@ -27,6 +28,17 @@
   for (const [id, { seenAt }] of data.incarnations) if (seenAt < seenBefore && !present.has(id)) data.incarnations.delete(id)
 }
 
+/**
+ * Returns whether a worker has restarted under its id so recently that calls to its earlier incarnation may still reach it.
+ *
+ * @param data - replicated state
+ * @param incarnation - id and start time of the incarnation
+ * @param after - time in milliseconds after which a restart is recent
+ */
+export function hasRestartedSince (data: BatchData, incarnation: { readonly id: string, readonly born: number }, after: Millis): boolean {
+  return countRestarts(data, incarnation) > 0 && (data.incarnations.get(incarnation.id)?.since ?? 0) > after
+}
+
 /**
  * Returns how often a worker is known to have restarted under its id before an incarnation.
  *
--- a/src/batch/state/records.ts
+++ b/src/batch/state/records.ts
@@ -93,7 +93,9 @@
   readonly born: number
   /** Incarnations under the same id before it. */
   readonly restarts: number
-  /** When it was recorded, or dismissed since. */
+  /** When it was first recorded. */
+  readonly since: Millis
+  /** When it was last recorded, or dismissed since. */
   readonly seenAt: Millis
 }
 
--- a/src/workers/constants.ts
+++ b/src/workers/constants.ts
@@ -12,6 +12,9 @@
  */
 export const MAX_WORKER_LEASE_MS = 12_000
 
+/** A call to the earlier incarnation of a worker may be carried out 12 s late, and the lease that it grants holds as long. */
+export const RESTART_WINDOW_MS = 12_000 + MAX_WORKER_LEASE_MS
+
 /** Longest time that a worker holds a long poll when no run has ended; also the interval between lease renewals. */
 export const POLL_WAIT_MS = 600
 
--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -3,9 +3,9 @@
 import type { TermContext } from '../../batch/leader/context.js'
 import type { WorkerRecord } from '../../batch/state/records.js'
 import { isOvercommitted } from '../../batch/poolWorker/index.js'
-import { countRestarts } from '../../batch/state/incarnations.js'
+import { countRestarts, hasRestartedSince } from '../../batch/state/incarnations.js'
 import { parseTask, workerKey, type WorkerReport } from '../../batch/types.js'
-import { IMMEDIATE_POLLS_PER_CALLER, LEASE_MS, MAX_WORKER_LEASE_MS } from '../constants.js'
+import { IMMEDIATE_POLLS_PER_CALLER, LEASE_MS, MAX_WORKER_LEASE_MS, RESTART_WINDOW_MS } from '../constants.js'
 import { computeIdlePollWait } from '../idlePollWait/index.js'
 import { isRunOver, startStatusOf } from '../isRunOver/index.js'
 import { PollGate } from '../pollGate/index.js'
@@ -312,13 +312,12 @@
   #openSession (record: WorkerRecord): void {
     const { clock, log, metrics, term, mayOrder, state } = this.#context
     const key = workerKey(record)
-    const restarts = countRestarts(state.data, record)
     const sessionContext: WorkerSessionContext = {
       clock,
       log,
       metrics,
-      token: term + restarts,
-      inheritedLeaseMs: restarts > 0 ? MAX_WORKER_LEASE_MS : LEASE_MS,
+      token: term + countRestarts(state.data, record),
+      inheritedLeaseMs: hasRestartedSince(state.data, record, clock.wall() - RESTART_WINDOW_MS) ? MAX_WORKER_LEASE_MS : LEASE_MS,
       mayOrder,
       runsOn: (worker) => state.runsOn(worker),
       isRunNeeded: (task, run) => state.isRunNeeded(task, run),
--- a/src/workers/takeover/test.ts
+++ b/src/workers/takeover/test.ts
@@ -7,6 +7,7 @@
 import { ManualClock } from '../../clock/index.js'
 import { EventLog } from '../../logs/eventLog/index.js'
 import { Metrics } from '../../metrics/index.js'
+import { MAX_WORKER_LEASE_MS } from '../constants.js'
 import { WorkerRegistry } from '../registry/index.js'
 import type { WorkerSession } from '../session/index.js'
 import type { WorkerCalls, WorkerPollRequest } from '../types.js'
@@ -75,4 +76,36 @@
     expect(sessionOf('w@1').goneReason).to.be.a('string')
     stop()
   })
+
+  // Such a worker was taken to hold the longest lease, although it had been called for hours.
+  it('frees the runs of a silent worker that restarted long ago after a lease', async () => {
+    let isUp = true
+    const { clock, waitForLoss, stop } = createTerm([createWorker('w', { born: 1 }), createWorker('w', { born: 2 })], 'w@2', (_record, clock) => ({
+      poll: async (req: WorkerPollRequest, timeoutMs: number) => {
+        await clock.sleep(isUp ? ANSWER_MS + req.waitMs : timeoutMs)
+        if (!isUp) throw new Error('no answer')
+        return { refusal: null, clockMs: clock.now(), born: 2, running: [RUNNING], ended: [], hasMoreEnds: false }
+      }
+    }), 60_000)
+    await clock.advance(1000)
+    isUp = false
+    expect(await waitForLoss('w@2', 20_000)).to.be.within(2000, 4000)
+    stop()
+  })
+
+  it('waits for the longest lease when the worker has just restarted under its id', async () => {
+    const { waitForLoss, stop } = createTerm([createWorker('w', { born: 1 }), createWorker('w', { born: 2 })], 'w@2', (_record, clock) => {
+      let isFirst = true
+      return {
+        poll: async (_req: WorkerPollRequest, timeoutMs: number) => {
+          await clock.sleep(isFirst ? ANSWER_MS : timeoutMs)
+          if (!isFirst) throw new Error('no answer')
+          isFirst = false
+          return { refusal: null, clockMs: clock.now(), born: 2, running: [RUNNING], ended: [], hasMoreEnds: false }
+        }
+      }
+    }, 1000)
+    expect(await waitForLoss('w@2', 20_000)).to.be.above(MAX_WORKER_LEASE_MS)
+    stop()
+  })
 })
