Acknowledge nothing to a worker that has not answered since its last failure

What callers could see: a finished task that runs again. Cause, found by the review: until the next incarnation under the same id and address reports, the session of the earlier one goes on polling it, with a token that it accepts and an acknowledgement of its own numbers; an end of the new incarnation is forgotten, and only then does the answer show that the worker has restarted. Change: a poll after a failure acknowledges nothing; the next one does.

--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -280,12 +280,13 @@
     const { clock, metrics, token } = this.#context
     const sentAt = clock.now()
     metrics.count('oleanderward_worker_polls')
-    const isFirst = !this.#lease.isKnown
     // Don't renew the lease of a worker that may be gone: each attempt may arrive and would postpone its expiry.
-    const leaseEndMs = isFirst || this.contact.isInDoubt ? null : this.#lease.grant(sentAt, LEASE_MS)
+    const leaseEndMs = !this.#lease.isKnown || this.contact.isInDoubt ? null : this.#lease.grant(sentAt, LEASE_MS)
     const waitMs = leaseEndMs === null ? 0 : this.#isIdle ? this.#context.idlePollWaitMs() : this.orders.hasOpenTrial ? SURVIVAL_MS : POLL_WAIT_MS
     this.contact.recordPoll(waitMs)
-    const answer = await this.#calls.poll({ token, acknowledgedSeq: this.#runEnds.acknowledgedSeq, leaseEndMs, waitMs }, waitMs + POLL_TIMEOUT_MS)
+    // The next incarnation may answer a worker's calls after a silence, and its ends have the same numbers.
+    const acknowledgedSeq = this.contact.isInDoubt ? 0 : this.#runEnds.acknowledgedSeq
+    const answer = await this.#calls.poll({ token, acknowledgedSeq, leaseEndMs, waitMs }, waitMs + POLL_TIMEOUT_MS)
     if (answer.refusal === 'wrongWorker') {
       this.markGone('another worker answers at its address')
       return
--- a/src/workers/takeover/test.ts
+++ b/src/workers/takeover/test.ts
@@ -108,4 +108,31 @@
     expect(await waitForLoss('w@2', 20_000)).to.be.above(MAX_WORKER_LEASE_MS)
     stop()
   })
+
+  // The numbers of ends begin anew with each incarnation, which may answer the calls that are meant for the last one.
+  it('acknowledges no ends to the next incarnation that only the earlier one has listed (TWICE)', async () => {
+    let born = 1
+    let isUp = true
+    const acknowledged: number[] = []
+    const { clock, registry, stop } = createTerm([createWorker('w', { born: 1 })], 'w@1', (_record, clock) => ({
+      poll: async (req: WorkerPollRequest, timeoutMs: number) => {
+        await clock.sleep(isUp ? ANSWER_MS : timeoutMs)
+        if (!isUp) throw new Error('no answer')
+        if (born === 2) acknowledged.push(req.acknowledgedSeq)
+        else if (req.acknowledgedSeq >= 1) await clock.sleep(req.waitMs)
+        const ended = born === 1 && req.acknowledgedSeq < 1 ? [{ seq: 1, task: `${JOB}.0.0.9`, run: 1, outcome: 'stopped' as const, checkpoint: '' }] : []
+        return { refusal: null, clockMs: clock.now(), born, running: born === 1 ? [RUNNING] : [], ended, hasMoreEnds: false }
+      }
+    }))
+    await clock.advance(50)
+    for (const session of registry.takeSessionsWithEnds()) session.acknowledge(session.takeRunEnds().listedSeq)
+    await clock.advance(1000)
+    isUp = false
+    await clock.advance(2000)
+    born = 2
+    isUp = true
+    await clock.advance(2000)
+    expect(acknowledged[0]).to.equal(0)
+    stop()
+  })
 })
