Remove leftovers before waiting for space, and wait for more than the next write needs

Cause, found by the review: probed for space before stale files were removed, and with an empty frame. Change: stale files go first; then a reserve of 256 KiB must fit, which is removed at once.

--- a/src/consensus/wal/index.ts
+++ b/src/consensus/wal/index.ts
@@ -15,6 +15,10 @@
 /** Interval between attempts to recover while no space is left. */
 const FULL_RETRY_MS = 200
 
+/** Space that must be left when a log is recovered, so that the first writes don't end the process again. */
+const RESERVE_BYTES = 256 * 1024
+const RESERVE_FILE = 'reserve.tmp'
+
 /** Content of the first frame of each log file. */
 interface LogHeader {
   readonly instance: string
@@ -124,8 +128,8 @@
     await this.#file.datasync()
     const snapshot = header.snapshotIndex === 0 ? null : await this.#readSnapshot(header.snapshotIndex)
     this.#endOffset = scan.validBytes
-    await this.#write(encodeFrame([]))
     await this.#removeStaleFiles(newest, header.snapshotIndex)
+    await this.#checkSpace()
     return { ...replayRecords(frames.flat()), snapshot, tornBytes: bytes.length - scan.validBytes }
   }
 
@@ -182,16 +186,25 @@
   async #write (frame: Buffer): Promise<void> {
     const file = this.#file
     if (file === null) throw new DataFolderError(`${this.#folder}: the log is closed.`)
-    let written = 0
-    while (written < frame.length) {
-      const res = await file.write(frame, written, frame.length - written, this.#endOffset + written)
-      written += res.bytesWritten
-    }
+    await writeFully(file, frame, this.#endOffset)
     await file.datasync()
     this.#endOffset += frame.length
     this.#onSync()
   }
 
+  /** Fails when less space than the reserve is left. */
+  async #checkSpace (): Promise<void> {
+    const path = join(this.#folder, RESERVE_FILE)
+    const file = await open(path, 'w')
+    try {
+      await writeFully(file, Buffer.alloc(RESERVE_BYTES), 0)
+      await file.datasync()
+    } finally {
+      await file.close()
+      await unlink(path)
+    }
+  }
+
   async #compactNow (snapshot: Snapshot, listRecords: ListRecords): Promise<void> {
     const previousGeneration = this.#generation
     await this.#writeFileAtomically(this.#snapshotPath(snapshot.index), [encodeFrame(snapshot)])
@@ -280,6 +293,14 @@
   }
 }
 
+async function writeFully (file: FileHandle, bytes: Buffer, position: number): Promise<void> {
+  let written = 0
+  while (written < bytes.length) {
+    const res = await file.write(bytes, written, bytes.length - written, position + written)
+    written += res.bytesWritten
+  }
+}
+
 function padNumber (value: number): string {
   return String(value).padStart(8, '0')
 }
--- a/src/consensus/wal/test.ts
+++ b/src/consensus/wal/test.ts
@@ -1,11 +1,11 @@
 import { expect } from 'chai'
-import { appendFileSync, mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { appendFileSync, existsSync, mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { open, type FileHandle } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { DataFolderError } from '../errors.js'
 import type { LogEntry, StoreRecord } from '../types.js'
-import { Wal } from './index.js'
+import { Wal, type WalOptions } from './index.js'
 
 function entry (index: number, term = 1): StoreRecord {
   return { kind: 'entry', entry: { index, term, kind: 'command', data: `value ${index}` } }
@@ -58,28 +58,79 @@
     expect(entries.map(({ index }) => index)).to.deep.equal([1, 2])
   })
 
-  it('waits for space when it recovers on a full disk, and keeps what was stored', async () => {
-    const first = await start()
-    await first.recover()
-    await first.append([entry(1), entry(2)])
-    await first.close()
-    const file = await open(logPath(), 'r')
-    const prototype = Object.getPrototypeOf(file) as FileHandle
-    await file.close()
-    const { write } = prototype
-    const failures: Error[] = []
-    const second = await Wal.open(folder, { onFull: (err) => { if (failures.push(err) === 2) prototype.write = write } })
-    openWals = [second]
-    prototype.write = () => Promise.reject(Object.assign(new Error('no space left on device'), { code: 'ENOSPC' }))
-    try {
+  describe('on a full disk', () => {
+    let prototype: FileHandle
+    let write: FileHandle['write']
+
+    beforeEach(async () => {
+      const file = await open(join(folder, 'handle'), 'w')
+      prototype = Object.getPrototypeOf(file) as FileHandle
+      write = prototype.write
+      await file.close()
+    })
+
+    afterEach(() => { prototype.write = write })
+
+    /** Lets writes take only what a function allows: from the position in the file, the number of bytes. */
+    function limitWrites (countAllowed: (position: number, length: number) => number): void {
+      prototype.write = function (this: FileHandle, ...args: unknown[]) {
+        const [buffer, offset, length, position] = args as [Buffer, number, number, number]
+        const allowed = countAllowed(position, length)
+        if (allowed <= 0) return Promise.reject(Object.assign(new Error('no space left on device'), { code: 'ENOSPC' }))
+        return (write as (...args: unknown[]) => unknown).call(this, buffer, offset, allowed, position)
+      } as unknown as FileHandle['write']
+    }
+
+    async function startWith (options: WalOptions): Promise<Wal> {
+      const wal = await Wal.open(folder, options)
+      openWals = [wal]
+      return wal
+    }
+
+    it('waits for space when it recovers, and keeps what was stored', async () => {
+      const first = await start()
+      await first.recover()
+      await first.append([entry(1), entry(2)])
+      await first.close()
+      const failures: Error[] = []
+      const second = await startWith({ onFull: (err) => { if (failures.push(err) === 2) prototype.write = write } })
+      limitWrites(() => 0)
       const [{ entries }] = await Promise.all([second.recover(), second.append([entry(3)])])
       expect(indexes(entries)).to.deep.equal([1, 2])
-    } finally {
-      prototype.write = write
-    }
-    expect(failures).to.have.length(2)
-    const third = await restart(second)
-    expect(indexes((await third.recover()).entries)).to.deep.equal([1, 2, 3])
+      expect(failures).to.have.length(2)
+      const third = await restart(second)
+      expect(indexes((await third.recover()).entries)).to.deep.equal([1, 2, 3])
+    })
+
+    it('waits for more space than the next write needs, so that it does not fail again at once', async () => {
+      const first = await start()
+      await first.recover()
+      let failures = 0
+      const append = async (wal: Wal): Promise<void> => { await wal.append([{ kind: 'entry', entry: { index: 1, term: 1, kind: 'command', data: 'x'.repeat(500) } }]).catch(() => { failures += 1 }) }
+      limitWrites((position, length) => Math.min(length, 300 - position))
+      await append(first)
+      await first.close()
+      for (let i = 0; i < 3; i++) {
+        const wal = await startWith({ onFull: () => { prototype.write = write } })
+        await wal.recover()
+        await append(wal)
+        await wal.close()
+      }
+      expect(failures).to.equal(1)
+    })
+
+    it('frees the space of a snapshot that it could not finish', async () => {
+      const first = await start()
+      await first.recover()
+      await first.close()
+      const leftover = join(folder, 'snapshot-00000009.tmp')
+      writeFileSync(leftover, 'a part of a snapshot')
+      let failures = 0
+      const second = await startWith({ onFull: () => { if (++failures === 3) prototype.write = write } })
+      limitWrites((_position, length) => existsSync(leftover) ? 0 : length)
+      await second.recover()
+      expect(failures).to.equal(0)
+    })
   })
 
   it('recovers vote and entries after a restart', async () => {
