Free the runs of a draining worker that has deregistered only if it no longer answers

What callers could see: a task that runs twice at once. Cause, found by the review: a worker whose deregistration is not answered goes on for some seconds with a valid lease, and one that arrives late may meet the next incarnation while that is draining; their runs were freed 300 ms later all the same. Change: after the grace time a draining worker is gone if its calls fail, which they do at once when its process has ended; otherwise it must answer again. The test of the draining worker made it answer after it had left; it is silent now, and the test checks besides that its lease is not over.

--- a/src/workers/takeover/test.ts
+++ b/src/workers/doubtfulWorkers/test.ts
@@ -1,4 +1,4 @@
-/** Tests of sessions with several incarnations of a worker, from the registry down to the calls. */
+/** Tests of what becomes of runs while an incarnation of a worker, or its end, is in doubt; from the registry down to the calls. */
 import { expect } from 'chai'
 import { createJob, createStep, createWorker } from '../../batch/fixtures/index.js'
 import type { TermContext } from '../../batch/leader/context.js'
@@ -50,7 +50,7 @@
   return { clock, registry, sessionOf, waitForLoss, stop: () => { end.abort(); registry.end() } }
 }
 
-describe('a leader that takes over workers with several incarnations', () => {
+describe('runs of workers whose incarnation or end is in doubt', () => {
   // The session with the earlier incarnation was refused for its lower token, and took that for silence.
   it('frees no run of an earlier incarnation that the next one still runs (TWICE)', async () => {
     let seenToken = 0
@@ -135,4 +135,18 @@
     expect(acknowledged[0]).to.equal(0)
     stop()
   })
+
+  it('keeps the runs of a draining worker that has deregistered, goes on working and answers (TWICE)', async () => {
+    const { clock, registry, sessionOf, waitForLoss, stop } = createTerm([createWorker('w', { isDraining: true })], 'w@1', (_record, clock) => ({
+      poll: async (req: WorkerPollRequest) => {
+        await clock.sleep(ANSWER_MS + req.waitMs)
+        return { refusal: null, clockMs: clock.now(), born: 1, running: [RUNNING], ended: [], hasMoreEnds: false }
+      }
+    }))
+    await clock.advance(1000)
+    registry.leave('w')
+    expect(await waitForLoss('w@1', 6000)).to.equal(null)
+    expect(sessionOf('w@1').isLive).to.equal(true)
+    stop()
+  })
 })
--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -186,15 +186,15 @@
   }
 
   /**
-   * Marks the draining incarnations of a worker that has left as gone, after a short grace time. Others must answer again: a
-   * late deregistration may be that of an earlier incarnation.
+   * Marks the draining incarnations of a worker that has left as gone, after a short grace time, if they no longer answer. Others
+   * must answer again: the deregistration may be that of an earlier incarnation, or of one that goes on because it has not been answered.
    *
    * @param id - id of the worker
    */
   leave (id: string): void {
     for (const session of this.#sessionsAmong(this.#context.state.workerIndex.withId(id))) {
       if (session.goneReason !== null) continue
-      const cancel = this.#clock.after(LEAVE_GRACE_MS, () => { this.#markGoneOrDoubt(session, session.record.isDraining, 'the worker has left') })
+      const cancel = this.#clock.after(LEAVE_GRACE_MS, () => { this.#markGoneOrDoubt(session, session.record.isDraining && session.contact.silentSince !== null, 'the worker has left') })
       this.#context.signal.addEventListener('abort', cancel, { once: true })
     }
   }
--- a/src/workers/registry/test.ts
+++ b/src/workers/registry/test.ts
@@ -152,11 +152,15 @@
     stop()
   })
 
-  it('marks a draining worker that has deregistered as gone after the grace time', async () => {
-    const { clock, registry, stop } = createHarness(2, ['w0'])
+  it('marks a draining worker that has deregistered and no longer answers as gone after the grace time, before its lease is over', async () => {
+    const silent: string[] = []
+    const { clock, registry, stop } = createHarness(2, ['w0'], silent)
     await clock.advance(1000)
     const { isDraining: _, ...record } = createWorker('w0')
     await registry.report({ ...record, state: 'draining', drainLeftMs: 1000, sequence: 1 })
+    silent.push('w0')
+    await clock.advance(2000)
+    expect(registry.sessionOf('w0@1')?.isLeaseExpired).to.equal(false)
     registry.leave('w0')
     await clock.advance(400)
     expect(registry.sessionOf('w0@1')?.goneReason).to.equal('the worker has left')
