--- a/src/batch/state/incarnations.ts
+++ b/src/batch/state/incarnations.ts
@@ -17,15 +17,22 @@
   else data.incarnations.set(id, { born, restarts: latest.restarts + 1, since: at, seenAt: at })
 }
 
+/** A worker that has restarted and is cut off for less than this refuses no leader for a token that is too low. */
+const RESTARTS_RETENTION_MS = 24 * 3600 * 1000
+
 /**
- * Forgets the workers that were dismissed before a time.
+ * Forgets the workers that were dismissed before a time; those that have restarted under their id later, since they may return as
+ * the same incarnation, which knows the token that it was called with.
  *
  * @param data - replicated state
  * @param seenBefore - time in milliseconds
  */
 export function purgeIncarnations (data: BatchData, seenBefore: Millis): void {
   const present = new Set([...data.workers.values()].map(({ id }) => id))
-  for (const [id, { seenAt }] of data.incarnations) if (seenAt < seenBefore && !present.has(id)) data.incarnations.delete(id)
+  for (const [id, { seenAt, restarts }] of data.incarnations) {
+    const isDue = seenAt < (restarts === 0 ? seenBefore : seenBefore - RESTARTS_RETENTION_MS)
+    if (isDue && !present.has(id)) data.incarnations.delete(id)
+  }
 }
 
 /**
