Take the late done of a job that waits to run again

What callers could see: a job of the product's own interface that runs twice. Change: such a report ends the job, until it is placed again.

--- a/src/jobs/commands/index.ts
+++ b/src/jobs/commands/index.ts
@@ -81,7 +81,8 @@
     let accepted = 0
     for (const report of reports) {
       const job = data.jobs.get(report.job)
-      if (vm === undefined || job === undefined || job.token !== report.token || job.vm !== vmId || !UNFINISHED_STATES.has(job.state)) continue
+      if (vm === undefined || job === undefined || job.token !== report.token || !UNFINISHED_STATES.has(job.state)) continue
+      if (job.vm !== vmId && !isLateCompletion(job, report)) continue
       REPORT_HANDLERS[report.state](data, { job, vm, report, index })
       accepted += 1
     }
@@ -179,6 +180,11 @@
   return [...data.jobs.values()].filter((job) => matchesSelector(job, selector))
 }
 
+/** Returns whether a job that waits to run again has been finished by the VM that it was taken from. */
+function isLateCompletion (job: Job, report: TaskReport): boolean {
+  return report.state === 'done' && job.state === 'queued' && job.token > 0
+}
+
 /** Removes the task from its VM. The worker may go on running it until its lease expires. */
 function revokeTask (data: FleetData, job: Job, reason: string, index: number): void {
   const vm = data.vms.get(job.vm ?? '')
