--- a/src/batch/runEndRecorder/test.ts
+++ b/src/batch/runEndRecorder/test.ts
@@ -1,12 +1,10 @@
 import { expect } from 'chai'
 import { ManualClock } from '../../clock/index.js'
-import { EventLog } from '../../logs/eventLog/index.js'
-import { Metrics } from '../../metrics/index.js'
 import { WorkerRegistry } from '../../workers/registry/index.js'
 import type { WorkerCalls, WorkerPollRequest } from '../../workers/types.js'
 import { createStep } from '../fixtures/index.js'
+import { createTermContext } from '../fixtures/termContext.js'
 import { createStateHarness, JOB_ID } from '../fixtures/stateHarness.js'
-import type { TermContext } from '../leader/context.js'
 import { LostRuns } from '../lostRuns/index.js'
 import { RunStats } from '../runStats/index.js'
 import type { BatchCommandType } from '../state/records.js'
@@ -31,20 +29,12 @@
     },
     close: () => {}
   }) as unknown as WorkerCalls
-  const context: TermContext = {
-    clock,
-    state: harness.state,
-    log: new EventLog('test', clock, { writableLength: 0, write: () => {} }),
-    metrics: new Metrics(),
-    term: 1,
-    holder: 'leader',
-    mayOrder: () => true,
-    signal: new AbortController().signal,
+  const context = createTermContext(clock, harness.state, {
     propose: async (type, input) => {
       if (type === rejected && !failing.isOver) throw new Error('the proposal was rejected')
       return harness.apply(type, input as never)
     }
-  }
+  })
   const registry = new WorkerRegistry(context, { connect, countCallers: () => 1 }, () => {})
   const recorder = new RunEndRecorder(context, registry, new LostRuns(clock, harness.state, registry), new RunStats())
   return { clock, harness, registry, recorder, acknowledged, failing }
--- a/src/batch/scheduler/test.ts
+++ b/src/batch/scheduler/test.ts
@@ -1,12 +1,10 @@
 import { expect } from 'chai'
 import { ManualClock } from '../../clock/index.js'
 import { Notifier } from '../../clock/notifier/index.js'
-import { EventLog } from '../../logs/eventLog/index.js'
-import { Metrics } from '../../metrics/index.js'
 import { WorkerRegistry } from '../../workers/registry/index.js'
 import type { WorkerCalls } from '../../workers/types.js'
 import { createConfig, createJob, createQueue, createStep, createWorker } from '../fixtures/index.js'
-import type { TermContext } from '../leader/context.js'
+import { createTermContext } from '../fixtures/termContext.js'
 import { RunStats } from '../runStats/index.js'
 import { BatchState } from '../state/index.js'
 import type { BatchCommand } from '../state/records.js'
@@ -84,20 +82,7 @@
   const cordonChecks: string[] = []
   const end = new AbortController()
   const apply = (command: unknown): unknown => state.apply(0, command as BatchCommand)
-  const context: TermContext = {
-    clock,
-    state,
-    log: new EventLog('test', clock, { writableLength: 0, write: () => {} }),
-    metrics: new Metrics(),
-    term: 1,
-    holder: 'leader',
-    mayOrder: () => true,
-    signal: end.signal,
-    propose: async (type, input) => {
-      await Promise.resolve()
-      return apply({ type, at: clock.wall(), ...input })
-    }
-  }
+  const context = createTermContext(clock, state, { signal: end.signal })
   apply({ type: 'configure', at: clock.wall(), config: createConfig(1, [createQueue(), createQueue({ name: 'other', prefix: '/other/', service: 'desk' })]) })
   for (const service of ['booth', 'desk']) {
     for (let i = 0; i < workersPerService; i++) apply({ type: 'enrol', at: clock.wall(), workers: [createWorker(`${service}-${i}`, { service })] })
--- a/src/pools/mover/test.ts
+++ b/src/pools/mover/test.ts
@@ -1,13 +1,13 @@
 import { expect } from 'chai'
 import { ManualClock } from '../../clock/index.js'
 import { createConfig, createWorker } from '../../batch/fixtures/index.js'
+import { createTermContext } from '../../batch/fixtures/termContext.js'
 import { EventLog } from '../../logs/eventLog/index.js'
 import type { TermContext } from '../../batch/leader/context.js'
 import { BatchState } from '../../batch/state/index.js'
 import type { BatchCommand } from '../../batch/state/records.js'
 import { MachineDrainer } from '../../maintenance/machineDrainer/index.js'
 import type { MachineCalls, MachineStatus } from '../../maintenance/types.js'
-import { Metrics } from '../../metrics/index.js'
 import { WorkerRegistry } from '../../workers/registry/index.js'
 import type { WorkerSession } from '../../workers/session/index.js'
 import type { WorkerCalls, WorkerPollRequest } from '../../workers/types.js'
@@ -70,17 +70,7 @@
   const state = new BatchState()
   const end = new AbortController()
   const apply = (command: unknown): unknown => state.apply(0, command as BatchCommand)
-  const context: TermContext = {
-    clock,
-    state,
-    log: new EventLog('test', clock, { writableLength: 0, write: () => {} }),
-    metrics: new Metrics(),
-    term: 2,
-    holder: 'leader',
-    mayOrder: () => true,
-    signal: end.signal,
-    propose: async (type, input) => apply({ type, at: clock.wall(), ...input })
-  }
+  const context = createTermContext(clock, state, { term: 2, signal: end.signal })
   const poll = async ({ waitMs }: WorkerPollRequest) => {
     await clock.sleep(ANSWER_MS + waitMs)
     return { refusal: null, clockMs: clock.now(), born: 1, running: [], ended: [] }
--- a/src/workers/doubtfulWorkers/test.ts
+++ b/src/workers/doubtfulWorkers/test.ts
@@ -1,12 +1,10 @@
 /** Tests of what becomes of runs while an incarnation of a worker, or its end, is in doubt; from the registry down to the calls. */
 import { expect } from 'chai'
 import { createJob, createStep, createWorker } from '../../batch/fixtures/index.js'
-import type { TermContext } from '../../batch/leader/context.js'
+import { createTermContext } from '../../batch/fixtures/termContext.js'
 import { BatchState } from '../../batch/state/index.js'
 import type { BatchCommand, WorkerRecord } from '../../batch/state/records.js'
 import { ManualClock } from '../../clock/index.js'
-import { EventLog } from '../../logs/eventLog/index.js'
-import { Metrics } from '../../metrics/index.js'
 import { MAX_WORKER_LEASE_MS } from '../constants.js'
 import { WorkerRegistry } from '../registry/index.js'
 import type { WorkerSession } from '../session/index.js'
@@ -23,17 +21,7 @@
   const state = new BatchState()
   const end = new AbortController()
   const apply = (command: unknown): unknown => state.apply(0, command as BatchCommand)
-  const context: TermContext = {
-    clock,
-    state,
-    log: new EventLog('test', clock, { writableLength: 0, write: () => {} }),
-    metrics: new Metrics(),
-    term: 2,
-    holder: 'leader',
-    mayOrder: () => true,
-    signal: end.signal,
-    propose: async (type, input) => apply({ type, at: clock.wall(), ...input })
-  }
+  const context = createTermContext(clock, state, { term: 2, signal: end.signal })
   for (const worker of workers) apply({ type: 'enrol', at: clock.wall() - restartedAgoMs, workers: [worker] })
   apply({ type: 'accept', at: 0, jobs: [createJob(JOB, { steps: [createStep()] })] })
   apply({ type: 'place', at: 0, placements: [{ task: TASK, run: 1, worker: runOn }] })
--- a/src/workers/registry/test.ts
+++ b/src/workers/registry/test.ts
@@ -1,11 +1,9 @@
 import { expect } from 'chai'
 import { createJob, createStep, createWorker } from '../../batch/fixtures/index.js'
-import type { TermContext } from '../../batch/leader/context.js'
+import { createTermContext } from '../../batch/fixtures/termContext.js'
 import { BatchState } from '../../batch/state/index.js'
 import type { BatchCommand } from '../../batch/state/records.js'
 import { ManualClock } from '../../clock/index.js'
-import { EventLog } from '../../logs/eventLog/index.js'
-import { Metrics } from '../../metrics/index.js'
 import { IMMEDIATE_POLLS_PER_CALLER, LEASE_MS } from '../constants.js'
 import type { WorkerCalls, WorkerPollRequest } from '../types.js'
 import type { WorkerSession } from '../session/index.js'
@@ -24,17 +22,7 @@
   let immediateInFlight = 0
   let maxImmediateInFlight = 0
   const apply = (command: unknown): unknown => state.apply(0, command as BatchCommand)
-  const context: TermContext = {
-    clock,
-    state,
-    log: new EventLog('test', clock, { writableLength: 0, write: () => {} }),
-    metrics: new Metrics(),
-    term: 2,
-    holder: 'leader',
-    mayOrder: () => true,
-    signal: end.signal,
-    propose: async (type, input) => apply({ type, at: clock.wall(), ...input })
-  }
+  const context = createTermContext(clock, state, { term: 2, signal: end.signal })
   for (let i = 0; i < workerCount; i++) apply({ type: 'enrol', at: 0, workers: [createWorker(`w${i}`)] })
   apply({ type: 'accept', at: 0, jobs: [createJob(JOB, { steps: [createStep({ count: Math.max(1, busyWorkers.length) })] })] })
   apply({ type: 'place', at: 0, placements: busyWorkers.map((id, i) => ({ task: `${JOB}.0.0.${i}`, run: 1, worker: `${id}@1` })) })
