--- a/src/batch/fuzz/endOracle.ts
+++ b/src/batch/fuzz/endOracle.ts
@@ -1,4 +1,4 @@
-/** Checks that no task starts after an end that is taken note of, then or later. */
+/** Checks that no task starts after an end that is acknowledged, then or later. */
 import { parseTask } from '../types.js'
 
 /** Description of a violated invariant. */
@@ -15,14 +15,14 @@
 interface Unit {
   starts: number
   lastStart: string
-  /** The first end that was taken note of. */
+  /** The first end that was acknowledged. */
   finishedBy: string | null
 }
 
 /**
  * Watches all workers. A unit is a task, or all tasks of a gang, since the end of one member stands for all.
  *
- * An end is taken note of when an acknowledgement reaches its number, whether or not the worker has listed it. The caller leaves out
+ * An end counts as acknowledged when an acknowledgement reaches its number, whether or not the worker has listed it. The caller leaves out
  * an end if the lease of its worker has expired since.
  */
 export class EndOracle {
@@ -66,7 +66,7 @@
   }
 
   /**
-   * Records that the end of a run is taken note of.
+   * Records that the end of a run is acknowledged.
    *
    * @param end - the end, since which the lease of its worker has not expired
    * @param worker - incarnation of the worker
--- a/src/workers/runEndQueue/index.ts
+++ b/src/workers/runEndQueue/index.ts
@@ -26,7 +26,7 @@
   }
 
   /**
-   * Returns the ends that the worker has listed for the first time, and takes note of their numbers.
+   * Returns the ends that the worker has listed for the first time, and remembers the highest number.
    *
    * @param listed - the ends in an answer of the worker
    */
