--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -88,6 +88,15 @@
     if (run !== undefined) this.#end(run, 'failed')
   }
 
+  /** Leaves as planned: deregisters and ends. */
+  async leave () {
+    for (const target of this.#options.control) {
+      const answer = await call(target, 'DELETE', `/instances/${this.id}`, null, 1000)
+      if (answer !== null && answer.status < 300) break
+    }
+    this.crash()
+  }
+
   #now () { return Math.floor(performance.now() - this.#bornAt) + this.#options.clockStart }
 
   #observe (event, fields) { this.#options.observe({ event, worker: this.id, born: this.born, ...fields }) }
