--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -36,7 +36,7 @@
   /**
    * @param options - `id`, `host`, `port`, `service`, `zone`, `machine`, `labels`, `capacity`, `control` (addresses), `bounds`, `taskOf` (gives
    *   `{ ms, outcome }` for a task; `ms` infinite for one that lasts), `onStartOrder` (may decide that an order is refused, or that its answer is
-   *   withheld), `observe` (receives events)
+   *   withheld), `isAnswerLost` (whether the answer to a poll is lost on its way), `observe` (receives events)
    */
   constructor (options) {
     this.#options = options
@@ -224,6 +224,10 @@
     const until = performance.now() + Math.min(2000, body.waitMs ?? 0)
     while (this.#ended.length === 0 && performance.now() < until && this.isUp) await new Promise((resolve) => setTimeout(resolve, TICK_MS))
     if (!this.isUp) return
+    if (this.#options.isAnswerLost?.(this) === true) {
+      this.#observe('answer.lost', {})
+      return
+    }
     const running = [...this.#running.values()].map(({ task, run, startedAt, ms }) => {
       const spent = performance.now() - startedAt
       return [task, run, '', ms === Number.POSITIVE_INFINITY ? Math.min(100, Math.floor(spent / STARTUP_MS * 100)) : Math.min(99, Math.floor(spent / ms * 100)), 0]
