Remember that a start was never answered after it is revoked (LOST)

Callers saw a job `failed` although one worker only had crashed under its task (fuzz of tasks that crash their workers, seeds 55 and 283).

Cause: a start that a lost worker never answered counts as weak evidence (`shared`). When the worker's next incarnation confirmed that it had revoked the run, `#revokeAtNextIncarnation` replaced the leader's record of the start by an empty one, which reads as the start of an earlier leader: the loss then counted as full evidence (`sole`), against a run that may never have begun. The record is kept now and only its phase changes.

--- a/src/batch/fuzz/test.ts
+++ b/src/batch/fuzz/test.ts
@@ -8,8 +8,17 @@
 
 const FIRST_SEED = Number(process.env.SEED ?? 1)
 
+/** Seeds in which a job was given up although one worker only had crashed under its task. */
+const FAILED_CRASH_SEEDS = process.env.SEED === undefined ? [55, 283] : []
+
+/** Lists the seeds of this run, and those that have failed before. */
+function listSeeds (failedSeeds: readonly number[] = []): number[] {
+  const seeds = Array.from({ length: RUNS }, (_, i) => FIRST_SEED + i)
+  return [...seeds, ...failedSeeds.filter((seed) => !seeds.includes(seed))]
+}
+
 describe('fuzz: failing leaders, relays, workers and calls', () => {
-  for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed++) {
+  for (const seed of listSeeds()) {
     it(`runs each task once at a time and completes every job, seed ${seed}`, async () => {
       const simulation = new Simulation(seed)
       await simulation.simulate()
@@ -21,7 +30,7 @@
 })
 
 describe('fuzz: tasks that crash their workers', () => {
-  for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed++) {
+  for (const seed of listSeeds(FAILED_CRASH_SEEDS)) {
     it(`gives up the jobs with such tasks, and no others, seed ${seed}`, async () => {
       const simulation = new Simulation(seed, CRASHING_SHARE)
       await simulation.simulate()
@@ -36,7 +45,7 @@
 })
 
 describe('fuzz: gangs, silent workers, slow clocks and restarts at the same address', () => {
-  for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed++) {
+  for (const seed of listSeeds()) {
     it(`runs each task and each gang once and completes every job, seed ${seed}`, async () => {
       const simulation = new Simulation(seed, 0, GANG_VARIANT)
       await simulation.simulate()
--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -9,7 +9,6 @@
 import { computeIdlePollWait } from '../idlePollWait/index.js'
 import { isRunOver, startStatusOf } from '../isRunOver/index.js'
 import { PollGate } from '../pollGate/index.js'
-import { createRunOrder } from '../runOrder/index.js'
 import { hasLessCapacity, isSameRecord, toRecord } from '../workerRecord/index.js'
 import { WorkerSession } from '../session/index.js'
 import type { WorkerSessionContext } from '../session/types.js'
@@ -267,7 +266,7 @@
     void next.revoke(task, run).then((isRevoked) => {
       this.#revoking.delete(key)
       if (!isRevoked) return
-      session.orders.set(task, { ...createRunOrder(run, this.#clock.now()), phase: 'barred' })
+      session.orders.ensure(task, run, this.#clock.now()).phase = 'barred'
       this.#onChange()
     })
   }
--- a/src/workers/registry/test.ts
+++ b/src/workers/registry/test.ts
@@ -26,7 +26,7 @@
   for (let i = 0; i < workerCount; i++) apply({ type: 'enrol', at: 0, workers: [createWorker(`w${i}`)] })
   apply({ type: 'accept', at: 0, jobs: [createJob(JOB, { steps: [createStep({ count: Math.max(1, busyWorkers.length) })] })] })
   apply({ type: 'place', at: 0, placements: busyWorkers.map((id, i) => ({ task: `${JOB}.0.0.${i}`, run: 1, worker: `${id}@1` })) })
-  const connect = ({ id }: { readonly id: string }): WorkerCalls => ({
+  const connect = ({ id, born }: { readonly id: string, readonly born: number }): WorkerCalls => ({
     poll: async (req: WorkerPollRequest, timeoutMs: number) => {
       polls.push({ id, at: clock.now(), ...req })
       if (req.waitMs === 0) maxImmediateInFlight = Math.max(maxImmediateInFlight, ++immediateInFlight)
@@ -35,8 +35,10 @@
       if (req.waitMs === 0) immediateInFlight -= 1
       if (isSilent) throw new Error('no answer')
       const task = busyWorkers.indexOf(id)
-      return { refusal: null, clockMs: clock.now(), born: 1, running: task < 0 ? [] : [{ task: `${JOB}.0.0.${task}`, run: 1, checkpoint: '', percent: 10, load: null }], ended: [], hasMoreEnds: false }
+      return { refusal: null, clockMs: clock.now(), born, running: task < 0 ? [] : [{ task: `${JOB}.0.0.${task}`, run: 1, checkpoint: '', percent: 10, load: null }], ended: [], hasMoreEnds: false }
     },
+    start: async () => { throw new Error('no answer') },
+    stop: async () => ({ refusal: null, clockMs: clock.now() }),
     close: () => {}
   }) as unknown as WorkerCalls
   const registry = new WorkerRegistry(context, { connect, countCallers: () => CALLERS }, () => {})
@@ -114,6 +116,23 @@
     stop()
   })
 
+  it('remembers that a start was never answered once the next incarnation has revoked it (LOST, a job was failed after one crash)', async () => {
+    const { clock, registry, apply, stop } = createHarness(1)
+    await clock.advance(100)
+    const task = `${JOB}.0.0.0`
+    apply({ type: 'place', at: 0, placements: [{ task, run: 1, worker: 'w0@1' }] })
+    const session = registry.sessionOf('w0@1') as WorkerSession
+    await session.start({ task, run: 1, payload: '', checkpoint: '', ticket: null, isTrial: false })
+    const { isDraining: _, ...record } = createWorker('w0', { born: 2 })
+    await registry.report({ ...record, state: 'ready', drainLeftMs: null, sequence: 1 })
+    await clock.advance(100)
+    expect(registry.listLostRuns(session)).to.deep.equal([])
+    await clock.advance(100)
+    expect(registry.listLostRuns(session)).to.deep.equal([[task, 1]])
+    expect(session.orders.isStartUnanswered(task, 1)).to.equal(true)
+    stop()
+  })
+
   it('keeps the runs of a worker that answers after a late deregistration of its earlier incarnation (task ran twice)', async () => {
     const { clock, registry, stop } = createHarness(2, ['w0'])
     await clock.advance(1000)
