Move the orders for placed runs out of the session with a worker

Stops, revocations and paces go to `RunControl`, which the session hands on to.

Behaviour as before but for two details: a run that the worker lists and nobody knows is stopped only under the leader lease, like all other orders, and the failure of that stop is logged instead of being dropped.

Tests of `workers` and `batch` pass unchanged.

--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -10,10 +10,13 @@
 import type { OrderAnswer, OrderRefusal, WorkerCalls, WorkerRuns } from '../types.js'
 import { RunEndQueue, type CollectedRunEnds } from '../runEndQueue/index.js'
 import { createRunOrder, RunOrders, type RunOrder } from '../runOrder/index.js'
+import { RunControl } from '../runControl/index.js'
 import type { LeaveGate } from '../pollGate/index.js'
 import { StartQueue } from '../startQueue/index.js'
 import { MAX_COMMIT_WAIT_MS, LEASE_MS, LEADER_LEASE_CHECK_MS, POLL_TIMEOUT_MS, POLL_WAIT_MS, MAX_CONCURRENT_STARTS, ORDER_TIMEOUT_MS, START_LEASE_MS, SURVIVAL_MS } from '../constants.js'
 
+const WRONG_WORKER = 'another worker answers at its address'
+
 /** Stays in contact with one incarnation of a worker until it is gone or the term ends. */
 export class WorkerSession {
   /** The leader's record of the last run of each task on the worker, by task. */
@@ -35,6 +38,7 @@
   /** Notified when run ends are committed and when the session ends. */
   readonly #wakeNotifier: Notifier
   readonly #startQueue: StartQueue
+  readonly #control: RunControl
   #isEnded = false
   #goneAt: Millis = Number.POSITIVE_INFINITY
   readonly #runEnds = new RunEndQueue()
@@ -52,6 +56,7 @@
     this.contact = new WorkerContact(context.clock)
     this.#lease = new LeaseClock(context.inheritedLeaseMs, context.clock.now())
     this.#wakeNotifier = new Notifier(context.clock)
+    this.#control = new RunControl(key, this.orders, calls, context, { onAnswer: (answer) => { this.#observeClock(answer) }, onWrongWorker: () => { this.markGone(WRONG_WORKER) } })
     this.#startQueue = new StartQueue(MAX_CONCURRENT_STARTS, (task, run) => context.isRunNeeded(task, run) && this.orders.get(task)?.isStopRequested !== true && context.hasCapacityFor(task))
   }
 
@@ -78,13 +83,7 @@
    * @returns whether the worker has confirmed that the run is stopped and will never start
    */
   async revoke (task: string, run: number): Promise<boolean> {
-    if (!this.isLive || !this.#context.mayOrder()) return false
-    try {
-      return (await this.#calls.stop({ token: this.#context.token, task, run }, ORDER_TIMEOUT_MS)).refusal === null
-    } catch (err) {
-      this.#context.log.info('stop.unclear', { task, run, worker: this.key, reason: (err as Error).message })
-      return false
-    }
+    return this.isLive && await this.#control.revoke(task, run)
   }
 
   /** Removes and returns the run ends to commit, and the sequence number to acknowledge once they are committed. */
@@ -225,7 +224,7 @@
     }
     if (refusal === 'unhealthy') this.consecutiveRefusals += 1
     this.#recordEnd(task, run, 'refused', '')
-    if (refusal === 'wrongWorker') this.markGone('another worker answers at its address')
+    if (refusal === 'wrongWorker') this.markGone(WRONG_WORKER)
   }
 
   /**
@@ -234,24 +233,8 @@
    * @param task - name of the task
    * @param run - number of the run
    */
-  async stop (task: string, run: number): Promise<void> {
-    const { clock, token } = this.#context
-    const order = this.orders.ensure(task, run, clock.now())
-    order.isStopRequested = true
-    if (order.isStopping || order.phase === 'starting' || !this.#context.mayOrder()) return
-    order.isStopping = true
-    try {
-      const answer = await this.#calls.stop({ token, task, run }, ORDER_TIMEOUT_MS)
-      this.#observeClock(answer)
-      if (answer.refusal === null) {
-        order.phase = 'barred'
-        order.settledAt = clock.now()
-      } else if (answer.refusal === 'wrongWorker') this.markGone('another worker answers at its address')
-    } catch (err) {
-      this.#context.log.info('stop.unclear', { task, run, worker: this.key, reason: (err as Error).message })
-    } finally {
-      order.isStopping = false
-    }
+  stop (task: string, run: number): Promise<void> {
+    return this.#control.stop(task, run)
   }
 
   /**
@@ -260,20 +243,8 @@
    * @param task - name of the task
    * @param percent - 0 to 100
    */
-  async pace (task: string, percent: number): Promise<void> {
-    const { token } = this.#context
-    const order = this.orders.get(task)
-    if (order === undefined || order.pace === percent || !this.#context.mayOrder()) return
-    const before = order.pace
-    order.pace = percent
-    try {
-      const answer = await this.#calls.pace({ token, task, run: order.run, percent }, ORDER_TIMEOUT_MS)
-      this.#observeClock(answer)
-      if (answer.refusal !== null) order.pace = before
-    } catch (err) {
-      order.pace = Number.NaN
-      this.#context.log.info('pace.unclear', { task, worker: this.key, reason: (err as Error).message })
-    }
+  pace (task: string, percent: number): Promise<void> {
+    return this.#control.pace(task, percent)
   }
 
   async #pollOnce (): Promise<void> {
@@ -288,7 +259,7 @@
     const acknowledgedSeq = this.contact.isInDoubt ? 0 : this.#runEnds.acknowledgedSeq
     const answer = await this.#calls.poll({ token, acknowledgedSeq, leaseEndMs, waitMs }, waitMs + POLL_TIMEOUT_MS)
     if (answer.refusal === 'wrongWorker') {
-      this.markGone('another worker answers at its address')
+      this.markGone(WRONG_WORKER)
       return
     }
     if (answer.refusal !== null) throw new Error(`the worker refused the long poll: ${answer.refusal}`)
@@ -323,9 +294,8 @@
 
   #stopUnknownRun (reportedRun: RunningTask): void {
     this.#context.log.info('run.unknown', { task: reportedRun.task, run: reportedRun.run, worker: this.key })
-    void this.#calls.stop({ token: this.#context.token, task: reportedRun.task, run: reportedRun.run }, ORDER_TIMEOUT_MS).catch(() => {
-      // The worker lists the run again in its next answer, and the stop is repeated.
-    })
+    // The worker lists the run again in its next answer if it is not stopped, and the stop is repeated.
+    void this.#control.revoke(reportedRun.task, reportedRun.run)
   }
 
   /** Revokes a run that the worker doesn't list, because its start may still arrive; records it as lost once revoked. */
