Blame a task only for crashes that came right after its start (LOST)

Cause: when a worker was lost, each run that had not been listed for 200 ms counted as the cause, also one that had ended since its start was confirmed: its end is lost with the worker if the answer that lists it is lost. "Not heard of since" was taken for "was running". The same conclusion was drawn for runs that an earlier leader had started, at whatever time.

A crash counts in full now only if the worker had confirmed the start and was gone within 350 ms of its sending (`CrashWindow`: a connection that breaks, or two missing answers); otherwise it is a suspicion, after which the task is tried alone. So that crashes under such a trial are still known for certain when machines go silent, the worker is asked 250 and 300 ms after the start beside its long poll, on connections of their own. Answers to concurrent polls may overtake each other: older ones are ignored, and an answer that is required is met only by a poll that was sent since.

--- a/src/batch/lostRuns/index.ts
+++ b/src/batch/lostRuns/index.ts
@@ -57,7 +57,7 @@
   #findEvidence (session: WorkerSession, task: string, run: number, suspicions: Suspicions): CrashEvidence | null {
     if (session.orders.hasSurvived(task, run)) return 'survived'
     const suspicion = suspicions.get(task) ?? null
-    return suspicion === 'sole' && session.orders.isStartUnanswered(task, run) ? 'shared' : suspicion
+    return suspicion === 'sole' && !session.orders.wasRunningAtCrash(task, run, session.crashedBy) ? 'shared' : suspicion
   }
 
   #judge (session: WorkerSession): Suspicions {
--- a/src/workers/constants.ts
+++ b/src/workers/constants.ts
@@ -21,6 +21,12 @@
 /** A worker that still lists a run this long after its start has survived the start. */
 export const SURVIVAL_MS = 200
 
+/** A worker with a suspected task is asked this long after the start was sent whether it has survived; twice, since an answer may be lost. */
+export const SURVIVAL_PROBE_DELAYS_MS = [250, 300] as const
+
+/** A worker that crashes later than this after a start was sent has survived the start, or the run may have ended before. */
+export const MAX_CRASH_DELAY_MS = 350
+
 /** Longest time that an idle worker holds a long poll on the largest fleets. The lease of a run that starts meanwhile is renewed by the next one. */
 export const MAX_IDLE_POLL_WAIT_MS = 1800
 
--- a/src/workers/contact/index.ts
+++ b/src/workers/contact/index.ts
@@ -2,6 +2,11 @@
 import type { Clock, Millis } from '../../clock/index.js'
 import { MAX_RETRY_DELAY_MS, POLL_TIMEOUT_MS, POLL_WAIT_MS, RETRY_DELAY_INCREMENT_MS } from '../constants.js'
 
+/** Tells whether a long poll was sent before or after an answer was last required. */
+export interface PollTicket {
+  readonly requirement: number
+}
+
 /** Records the answers and the failures of one incarnation's long polls. */
 export class WorkerContact {
   readonly #clock: Clock
@@ -10,9 +15,9 @@
   #unresponsiveAfterMs: Millis = POLL_WAIT_MS + POLL_TIMEOUT_MS
   #consecutiveFailures = 0
   #silentSince: Millis | null = null
-  #isAnswerRequired = false
-  /** Whether a long poll was sent since an answer was last required. */
-  #isPollSent = false
+  /** How often an answer to a later long poll was required, and the last requirement that was met. */
+  #requirement = 0
+  #metRequirement = 0
 
   /** @param clock - source of time */
   constructor (clock: Clock) {
@@ -46,17 +51,17 @@
 
   /** Whether the worker may be gone and has not yet answered a long poll that was sent since. */
   get isAnswerRequired (): boolean {
-    return this.#isAnswerRequired
+    return this.#metRequirement < this.#requirement
   }
 
   /** Whether the worker must answer a short poll before its lease is renewed. */
   get isInDoubt (): boolean {
-    return this.#isAnswerRequired || this.#consecutiveFailures > 0
+    return this.isAnswerRequired || this.#consecutiveFailures > 0
   }
 
   /** Whether the worker has answered recently. */
   get isResponsive (): boolean {
-    return !this.#isAnswerRequired && this.#clock.now() - this.#answeredAt < this.#unresponsiveAfterMs
+    return !this.isAnswerRequired && this.#clock.now() - this.#answeredAt < this.#unresponsiveAfterMs
   }
 
   /** Time to wait before the next poll after a failure, in milliseconds. */
@@ -66,24 +71,28 @@
 
   /** Counts the worker as unresponsive until it answers a long poll that is sent from now on: it may be gone. */
   requireNewAnswer (): void {
-    this.#isAnswerRequired = true
-    this.#isPollSent = false
+    this.#requirement += 1
   }
 
   /**
    * Records that a long poll is sent.
    *
    * @param waitMs - how long the worker may hold it
+   * @returns what {@link recordAnswer} needs
    */
-  recordPoll (waitMs: Millis): void {
-    this.#isPollSent = true
+  recordPoll (waitMs: Millis): PollTicket {
     if (waitMs > 0) this.#unresponsiveAfterMs = waitMs + POLL_TIMEOUT_MS
+    return { requirement: this.#requirement }
   }
 
-  /** Records the answer to a long poll. */
-  recordAnswer (): void {
+  /**
+   * Records the answer to a long poll.
+   *
+   * @param ticket - returned when the poll was sent
+   */
+  recordAnswer ({ requirement }: PollTicket): void {
     this.#answeredAt = this.#clock.now()
-    if (this.#isPollSent) this.#isAnswerRequired = false
+    this.#metRequirement = Math.max(this.#metRequirement, requirement)
     this.#consecutiveFailures = 0
     this.#silentSince = null
   }
--- a/src/workers/contact/test.ts
+++ b/src/workers/contact/test.ts
@@ -12,7 +12,7 @@
     for (const waitMs of [POLL_WAIT_MS, 3 * POLL_WAIT_MS]) {
       const clock = new ManualClock()
       const contact = new WorkerContact(clock)
-      contact.recordAnswer()
+      contact.recordAnswer(contact.recordPoll(0))
       contact.recordPoll(waitMs)
       await clock.advance(waitMs + POLL_TIMEOUT_MS - 1)
       expect(contact.isResponsive).to.equal(true)
@@ -23,12 +23,12 @@
 
   it('counts a worker as unresponsive until it answers a long poll that is sent after a new answer was required', () => {
     const contact = new WorkerContact(new ManualClock())
-    contact.recordPoll(POLL_WAIT_MS)
+    const before = contact.recordPoll(POLL_WAIT_MS)
     contact.requireNewAnswer()
-    contact.recordAnswer()
+    const since = contact.recordPoll(0)
+    contact.recordAnswer(before)
     expect(contact).to.include({ isResponsive: false, isInDoubt: true })
-    contact.recordPoll(0)
-    contact.recordAnswer()
+    contact.recordAnswer(since)
     expect(contact).to.include({ isResponsive: true, isInDoubt: false })
   })
 
@@ -40,7 +40,7 @@
     expect(contact.retryDelayMs).to.be.above(first)
     for (let i = 0; i < 100; i++) contact.recordFailure()
     expect(contact.retryDelayMs).to.equal(MAX_RETRY_DELAY_MS)
-    contact.recordAnswer()
+    contact.recordAnswer(contact.recordPoll(0))
     expect(contact.consecutiveFailures).to.equal(0)
   })
 })
--- a/src/workers/runOrder/index.ts
+++ b/src/workers/runOrder/index.ts
@@ -1,7 +1,7 @@
 /** Keeps what the leader knows about one run on a worker, beyond the replicated state. */
 import type { RunningTask } from '../../batch/types.js'
 import type { Millis } from '../../clock/index.js'
-import { SURVIVAL_MS } from '../constants.js'
+import { MAX_CRASH_DELAY_MS, SURVIVAL_MS } from '../constants.js'
 
 /**
  * Phase of a start order, which `explain` prints as it is. `unclear`: its outcome is unknown; `barred`: the run is revoked, which
@@ -116,14 +116,16 @@
   }
 
   /**
-   * Returns whether this leader has sent the start of a run without learning whether the run has begun.
+   * Returns whether a run was still running when the worker crashed: this leader has sent its start, the worker has confirmed it, and the
+   * crash came so soon that the run can hardly have ended before. The end of a later crash may have been lost with the worker.
    *
    * @param task - name of the task
    * @param run - number of the run
+   * @param crashedBy - clock reading by which the worker had crashed
    */
-  isStartUnanswered (task: string, run: number): boolean {
+  wasRunningAtCrash (task: string, run: number, crashedBy: Millis): boolean {
     const order = this.get(task)
-    return order?.run === run && order.runningSinceMs === null && order.sentAt > Number.NEGATIVE_INFINITY
+    return order?.run === run && order.runningSinceMs !== null && crashedBy - order.sentAt <= MAX_CRASH_DELAY_MS
   }
 
   /** Whether a run of a suspected job has not been seen to survive yet. */
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -7,13 +7,14 @@
 import { WorkerContact } from '../contact/index.js'
 import { LeaseClock } from '../leaseClock/index.js'
 import type { WorkerSessionContext, StartOrder } from './types.js'
-import type { OrderAnswer, OrderRefusal, WorkerCalls, WorkerRuns } from '../types.js'
+import type { OrderAnswer, OrderRefusal, WorkerCalls } from '../types.js'
+import { WorkerPoller, type ListedRuns } from '../poller/index.js'
 import { RunEndQueue, type CollectedRunEnds } from '../runEndQueue/index.js'
 import { createRunOrder, RunOrders, type RunOrder } from '../runOrder/index.js'
 import { RunControl } from '../runControl/index.js'
 import type { LeaveGate } from '../pollGate/index.js'
 import { StartQueue } from '../startQueue/index.js'
-import { MAX_COMMIT_WAIT_MS, LEASE_MS, LEADER_LEASE_CHECK_MS, POLL_TIMEOUT_MS, POLL_WAIT_MS, MAX_CONCURRENT_STARTS, ORDER_TIMEOUT_MS, START_LEASE_MS, SURVIVAL_MS } from '../constants.js'
+import { MAX_COMMIT_WAIT_MS, LEASE_MS, LEADER_LEASE_CHECK_MS, POLL_WAIT_MS, MAX_CONCURRENT_STARTS, ORDER_TIMEOUT_MS, START_LEASE_MS, SURVIVAL_MS, SURVIVAL_PROBE_DELAYS_MS } from '../constants.js'
 
 const WRONG_WORKER = 'another worker answers at its address'
 
@@ -32,6 +33,7 @@
   hasEndedAsPlanned = false
   /** Whether the worker answers its long polls. */
   readonly contact: WorkerContact
+  readonly #poller: WorkerPoller
   readonly #calls: WorkerCalls
   readonly #context: WorkerSessionContext
   readonly #lease: LeaseClock
@@ -54,6 +56,7 @@
     this.#calls = calls
     this.#context = context
     this.contact = new WorkerContact(context.clock)
+    this.#poller = new WorkerPoller(calls, context, record.born)
     this.#lease = new LeaseClock(context.inheritedLeaseMs, context.clock.now())
     this.#wakeNotifier = new Notifier(context.clock)
     this.#control = new RunControl(key, this.orders, calls, context, { onAnswer: (answer) => { this.#observeClock(answer) }, onWrongWorker: () => { this.markGone(WRONG_WORKER) } })
@@ -75,6 +78,11 @@
     return this.#context.clock.now() - this.#goneAt
   }
 
+  /** Clock reading by which the worker had crashed if it is gone; infinity while too little is known. */
+  get crashedBy (): Millis {
+    return Math.min(this.#poller.crashedBy, this.#goneAt)
+  }
+
   /**
    * Revokes a run whose start may have reached this incarnation although it was sent to an earlier one.
    *
@@ -196,8 +204,9 @@
       this.#recordEnd(task, run, 'refused', '')
       return
     }
-    const { isTrial: _, ...runStart } = startOrder
+    const { isTrial, ...runStart } = startOrder
     order.sentAt = clock.now()
+    if (isTrial) for (const delayMs of SURVIVAL_PROBE_DELAYS_MS) void this.#probeSurvival(task, order, delayMs)
     try {
       const answer = await this.#calls.start({ ...runStart, token, leaseEndMs: this.#lease.grant(clock.now(), START_LEASE_MS) }, ORDER_TIMEOUT_MS)
       order.settledAt = clock.now()
@@ -247,35 +256,48 @@
     return this.#control.pace(task, percent)
   }
 
+  /** Asks the worker beside the long poll whether it has survived the start of a suspected task. */
+  async #probeSurvival (task: string, order: RunOrder, delayMs: Millis): Promise<void> {
+    await this.#context.clock.sleep(delayMs)
+    if (this.#isEnded || order.hasSurvived || this.orders.get(task) !== order || !this.#context.mayOrder()) return
+    try {
+      await this.#poll(null, 0)
+    } catch (err) {
+      this.#context.log.info('survival.unclear', { task, run: order.run, worker: this.key, reason: (err as Error).message })
+    }
+  }
+
   async #pollOnce (): Promise<void> {
-    const { clock, metrics, token } = this.#context
-    const sentAt = clock.now()
-    metrics.count('oleanderward_worker_polls')
     // Don't renew the lease of a worker that may be gone: each attempt may arrive and would postpone its expiry.
-    const leaseEndMs = !this.#lease.isKnown || this.contact.isInDoubt ? null : this.#lease.grant(sentAt, LEASE_MS)
+    const leaseEndMs = !this.#lease.isKnown || this.contact.isInDoubt ? null : this.#lease.grant(this.#context.clock.now(), LEASE_MS)
     const waitMs = leaseEndMs === null ? 0 : this.#isIdle ? this.#context.idlePollWaitMs() : this.orders.hasOpenTrial ? SURVIVAL_MS : POLL_WAIT_MS
-    this.contact.recordPoll(waitMs)
+    await this.#poll(leaseEndMs, waitMs)
+  }
+
+  async #poll (leaseEndMs: Millis | null, waitMs: Millis): Promise<void> {
+    const ticket = this.contact.recordPoll(waitMs)
     // The next incarnation may answer a worker's calls after a silence, and its ends have the same numbers.
     const acknowledgedSeq = this.contact.isInDoubt ? 0 : this.#runEnds.acknowledgedSeq
-    const answer = await this.#calls.poll({ token, acknowledgedSeq, leaseEndMs, waitMs }, waitMs + POLL_TIMEOUT_MS)
-    if (answer.refusal === 'wrongWorker') {
+    const result = await this.#poller.poll({ token: this.#context.token, acknowledgedSeq, leaseEndMs, waitMs })
+    if (result.kind === 'wrongWorker') {
       this.markGone(WRONG_WORKER)
       return
     }
-    if (answer.refusal !== null) throw new Error(`the worker refused the long poll: ${answer.refusal}`)
-    if (answer.born !== this.record.born) {
+    if (result.kind === 'reincarnated') {
       this.isReincarnated = true
       this.markGone('the worker has started again')
       return
     }
     const wasLive = this.isLive
-    this.contact.recordAnswer()
-    this.#lease.observe(answer.clockMs, this.contact.answeredAt)
-    this.#reconcileRuns(answer, sentAt)
+    this.contact.recordAnswer(ticket)
+    if (result.kind === 'listed') {
+      this.#lease.observe(result.runs.clockMs, this.contact.answeredAt)
+      this.#reconcileRuns(result.runs)
+    }
     if (!wasLive) this.#context.onChange()
   }
 
-  #reconcileRuns (answer: WorkerRuns & { readonly clockMs: Millis }, sentAt: Millis): void {
+  #reconcileRuns (answer: ListedRuns): void {
     const expected = this.#context.runsOn(this.key)
     for (const end of this.#runEnds.takeNew(answer.ended)) {
       this.#recordEnd(end.task, end.run, end.outcome, end.checkpoint, expected.has(end.task) ? this.key : this.#context.earlierIncarnationWith(end.task, end.run) ?? this.key)
@@ -283,7 +305,7 @@
     const { confirmed, unknown, missing } = compareRuns(expected, answer)
     for (const run of confirmed) this.#observeRun(run, answer.clockMs)
     for (const run of unknown) this.#stopUnknownRun(run)
-    for (const { task, run } of missing) this.#onMissingRun(task, run, sentAt)
+    for (const { task, run } of missing) this.#onMissingRun(task, run, answer.sentAt)
     if (answer.ended.length > 0) this.#context.onChange()
   }
 
--- a/src/workers/session/test.ts
+++ b/src/workers/session/test.ts
@@ -1,95 +1,13 @@
 import { expect } from 'chai'
-import { createWorker } from '../../batch/fixtures/index.js'
-import type { EndedRun, RunningTask } from '../../batch/types.js'
-import { ManualClock } from '../../clock/index.js'
-import { EventLog } from '../../logs/eventLog/index.js'
-import { Metrics } from '../../metrics/index.js'
-import { LEASE_MS, POLL_WAIT_MS, MAX_CONCURRENT_STARTS, MAX_IDLE_POLL_WAIT_MS } from '../constants.js'
-import type { WorkerPollRequest, OrderAnswer, OrderRefusal, WorkerCalls } from '../types.js'
-import { PollGate } from '../pollGate/index.js'
-import { WorkerSession } from './index.js'
+import { createSessionHarness } from '../fixtures/sessionHarness.js'
+import { LEASE_MS, POLL_WAIT_MS, MAX_CONCURRENT_STARTS, MAX_CRASH_DELAY_MS, MAX_IDLE_POLL_WAIT_MS, SURVIVAL_PROBE_DELAYS_MS } from '../constants.js'
 
 const TASK = '00000000000000aa.0.0.0'
-const POLL_MS = 5
-
-/** A worker whose answers are set by the test. */
-class FakeWorker implements WorkerCalls {
-  readonly clock: ManualClock
-  running: RunningTask[] = []
-  ended: EndedRun[] = []
-  born = 1
-  isUnresponsive = false
-  maxListedEnds = Number.POSITIVE_INFINITY
-  startRefusal: OrderRefusal | null | 'noAnswer' = null
-  readonly polls: WorkerPollRequest[] = []
-  readonly starts: string[] = []
-  readonly stops: string[] = []
-
-  constructor (clock: ManualClock) {
-    this.clock = clock
-  }
-
-  async poll (req: WorkerPollRequest, timeoutMs: number) {
-    this.polls.push(req)
-    await this.clock.sleep(this.isUnresponsive ? timeoutMs : POLL_MS)
-    if (this.isUnresponsive) throw new Error('no answer')
-    const ended = this.ended.filter(({ seq }) => seq > req.acknowledgedSeq)
-    if (ended.length === 0) await this.clock.sleep(req.waitMs)
-    const hasMoreEnds = ended.length > this.maxListedEnds
-    return { refusal: null, clockMs: this.clock.now(), born: this.born, running: this.running, ended: ended.slice(0, this.maxListedEnds), hasMoreEnds }
-  }
-
-  async start ({ task }: { readonly task: string }): Promise<OrderAnswer> {
-    this.starts.push(task)
-    await this.clock.sleep(1)
-    if (this.startRefusal === 'noAnswer') throw new Error('no answer')
-    return { refusal: this.startRefusal, clockMs: this.clock.now() }
-  }
-
-  async stop ({ task }: { readonly task: string }): Promise<OrderAnswer> {
-    this.stops.push(task)
-    await this.clock.sleep(1)
-    return { refusal: null, clockMs: this.clock.now() }
-  }
-
-  async pace (): Promise<OrderAnswer> {
-    return { refusal: null, clockMs: this.clock.now() }
-  }
-
-  close (): void {}
-}
-
-function createHarness (earlierIncarnation: string | null = null, idlePollWaitMs = POLL_WAIT_MS) {
-  const clock = new ManualClock()
-  const worker = new FakeWorker(clock)
-  const placed = new Map<string, { run: number }>()
-  const lease = { mayOrder: true }
-  const session = new WorkerSession('w@1', createWorker('w'), worker, {
-    clock,
-    log: new EventLog('test', clock, { writableLength: 0, write: () => {} }),
-    metrics: new Metrics(),
-    token: 7,
-    inheritedLeaseMs: LEASE_MS,
-    mayOrder: () => lease.mayOrder,
-    runsOn: () => placed,
-    isRunNeeded: (task, run) => placed.get(task)?.run === run,
-    hasCapacityFor: () => true,
-    earlierIncarnationWith: () => earlierIncarnation,
-    onChange: () => {},
-    onRunEnd: () => {},
-    onGone: () => {},
-    pollGate: new PollGate(() => 1),
-    idlePollWaitMs: () => idlePollWaitMs
-  })
-  void session.run()
-  return { clock, worker, placed, lease, session }
-}
-
 const startOrder = { task: TASK, run: 1, payload: '', checkpoint: '', ticket: null, isTrial: false }
 
 describe('WorkerSession', () => {
   it('sends its fencing token and reads the worker clock before it renews a lease', async () => {
-    const { clock, worker, session } = createHarness()
+    const { clock, worker, session } = createSessionHarness()
     await clock.advance(50)
     expect(worker.polls[0]).to.deep.equal({ token: 7, acknowledgedSeq: 0, leaseEndMs: null, waitMs: 0 })
     expect(worker.polls[1]?.leaseEndMs).to.be.a('number')
@@ -97,7 +15,7 @@
   })
 
   it('treats the lease of an unresponsive worker as expired once its last renewal has run out', async () => {
-    const { clock, worker, session } = createHarness()
+    const { clock, worker, session } = createSessionHarness()
     await clock.advance(2000)
     worker.isUnresponsive = true
     await clock.advance(LEASE_MS)
@@ -109,7 +27,7 @@
   })
 
   it('renews the lease again when the worker answers again', async () => {
-    const { clock, worker, session } = createHarness()
+    const { clock, worker, session } = createSessionHarness()
     await clock.advance(1000)
     worker.isUnresponsive = true
     await clock.advance(2000)
@@ -121,7 +39,7 @@
   })
 
   it('renews the lease of a worker that may be gone only once it has answered a poll that was sent since', async () => {
-    const { clock, worker, session } = createHarness()
+    const { clock, worker, session } = createSessionHarness()
     await clock.advance(1000)
     const before = worker.polls.length
     session.contact.requireNewAnswer()
@@ -134,7 +52,7 @@
   })
 
   it('treats the lease of a worker that may be gone as valid until its last renewal has run out', async () => {
-    const { clock, worker, session } = createHarness()
+    const { clock, worker, session } = createSessionHarness()
     await clock.advance(1000)
     const expiryMs = worker.polls.at(-1)?.leaseEndMs as number
     session.contact.requireNewAnswer()
@@ -147,7 +65,7 @@
   })
 
   it('returns a run end once, and acknowledges it only after it is committed', async () => {
-    const { clock, worker, placed, session } = createHarness()
+    const { clock, worker, placed, session } = createSessionHarness()
     placed.set(TASK, { run: 1 })
     worker.ended = [{ seq: 1, task: TASK, run: 1, outcome: 'done', checkpoint: '' }]
     await clock.advance(100)
@@ -163,7 +81,7 @@
   })
 
   it('revokes a run whose start was not answered and that is not listed, then records it as lost', async () => {
-    const { clock, worker, placed, session } = createHarness()
+    const { clock, worker, placed, session } = createSessionHarness()
     await clock.advance(100)
     placed.set(TASK, { run: 1 })
     worker.startRefusal = 'noAnswer'
@@ -175,7 +93,7 @@
   })
 
   it('keeps a run whose start was not answered but that is listed', async () => {
-    const { clock, worker, placed, session } = createHarness()
+    const { clock, worker, placed, session } = createSessionHarness()
     await clock.advance(100)
     placed.set(TASK, { run: 1 })
     worker.startRefusal = 'noAnswer'
@@ -188,7 +106,7 @@
   })
 
   it('records a start that the worker refuses as refused', async () => {
-    const { clock, worker, placed, session } = createHarness()
+    const { clock, worker, placed, session } = createSessionHarness()
     await clock.advance(100)
     placed.set(TASK, { run: 1 })
     worker.startRefusal = 'noRoom'
@@ -199,7 +117,7 @@
   })
 
   it('does not take a run for lost whose end is beyond the ends that one answer lists (TWICE)', async () => {
-    const { clock, worker, placed, session } = createHarness()
+    const { clock, worker, placed, session } = createSessionHarness()
     await clock.advance(100)
     worker.maxListedEnds = 2
     const tasks = Array.from({ length: 5 }, (_, i) => `00000000000000aa.0.0.${i}`)
@@ -219,7 +137,7 @@
 
   // `stale` says that this run or a later one was stopped or has ended there: the first of two deliveries may have run the task.
   it('does not take a run for refused whose start was answered as stale (TWICE)', async () => {
-    const { clock, worker, placed, session } = createHarness()
+    const { clock, worker, placed, session } = createSessionHarness()
     await clock.advance(100)
     placed.set(TASK, { run: 1 })
     worker.startRefusal = 'stale'
@@ -233,7 +151,7 @@
   })
 
   it('revokes a run whose start was answered as stale and that is not listed', async () => {
-    const { clock, worker, placed, session } = createHarness()
+    const { clock, worker, placed, session } = createSessionHarness()
     await clock.advance(100)
     placed.set(TASK, { run: 1 })
     worker.startRefusal = 'stale'
@@ -245,7 +163,7 @@
   })
 
   it('stops a run that was never placed', async () => {
-    const { clock, worker, session } = createHarness()
+    const { clock, worker, session } = createSessionHarness()
     worker.running = [{ task: TASK, run: 4, checkpoint: '', percent: 10, load: null }]
     await clock.advance(50)
     expect(worker.stops).to.include(TASK)
@@ -253,7 +171,7 @@
   })
 
   it('ends when a later incarnation of the worker answers', async () => {
-    const { clock, worker, session } = createHarness()
+    const { clock, worker, session } = createSessionHarness()
     await clock.advance(1000)
     worker.born = 2
     await clock.advance(1000)
@@ -262,7 +180,7 @@
   })
 
   it('sends nothing while the leader lease is not confirmed', async () => {
-    const { clock, worker, lease, session } = createHarness()
+    const { clock, worker, lease, session } = createSessionHarness()
     await clock.advance(1000)
     lease.mayOrder = false
     await clock.advance(1000)
@@ -275,7 +193,7 @@
   })
 
   it('drops a start that is stopped before its turn comes', async () => {
-    const { clock, worker, placed, session } = createHarness()
+    const { clock, worker, placed, session } = createSessionHarness()
     await clock.advance(50)
     const tasks = Array.from({ length: MAX_CONCURRENT_STARTS + 1 }, (_, i) => `00000000000000aa.0.0.${i}`)
     for (const task of tasks) {
@@ -290,7 +208,7 @@
   })
 
   it('renews the lease of a run that starts during the long poll of an idle worker before it expires', async () => {
-    const { clock, worker, placed, session } = createHarness(null, MAX_IDLE_POLL_WAIT_MS)
+    const { clock, worker, placed, session } = createSessionHarness(null, MAX_IDLE_POLL_WAIT_MS)
     await clock.advance(200)
     expect(worker.polls.at(-1)?.waitMs).to.equal(MAX_IDLE_POLL_WAIT_MS)
     const granted = worker.polls.at(-1)?.leaseEndMs as number
@@ -307,8 +225,49 @@
     session.end()
   })
 
+  it('asks a worker beside the long poll whether it has survived the start of a suspected task', async () => {
+    const { clock, worker, placed, session } = createSessionHarness()
+    await clock.advance(100)
+    placed.set(TASK, { run: 1 })
+    worker.running = [{ task: TASK, run: 1, checkpoint: '', percent: 10, load: null }]
+    const before = worker.polls.length
+    void session.start({ ...startOrder, isTrial: true })
+    await clock.advance(MAX_CRASH_DELAY_MS)
+    expect(worker.polls.slice(before)).to.deep.include({ token: 7, acknowledgedSeq: 0, leaseEndMs: null, waitMs: 0 })
+    expect(session.orders.hasSurvived(TASK, 1)).to.equal(true)
+    session.end()
+  })
+
+  it('knows that a worker which answers nothing after the start of a suspected task has crashed under it', async () => {
+    const { clock, worker, placed, session } = createSessionHarness()
+    await clock.advance(100)
+    placed.set(TASK, { run: 1 })
+    void session.start({ ...startOrder, isTrial: true })
+    await clock.advance(5)
+    worker.isUnresponsive = true
+    await clock.advance(2000)
+    expect(session.orders.wasRunningAtCrash(TASK, 1, session.crashedBy)).to.equal(true)
+    session.end()
+  })
+
+  it('does not take a run for one that has crashed the worker when a single answer to the probes is missing (LOST)', async () => {
+    const { clock, worker, placed, session } = createSessionHarness()
+    await clock.advance(100)
+    placed.set(TASK, { run: 1 })
+    void session.start({ ...startOrder, isTrial: true })
+    await clock.advance(SURVIVAL_PROBE_DELAYS_MS[0] - 1)
+    worker.isUnresponsive = true
+    await clock.advance(10)
+    worker.isUnresponsive = false
+    await clock.advance(100)
+    worker.isUnresponsive = true
+    await clock.advance(4000)
+    expect(session.orders.wasRunningAtCrash(TASK, 1, session.crashedBy)).to.equal(false)
+    session.end()
+  })
+
   it('records a run end for the earlier incarnation when the start was sent to that one', async () => {
-    const { clock, worker, session } = createHarness('w@0')
+    const { clock, worker, session } = createSessionHarness('w@0')
     worker.ended = [{ seq: 1, task: TASK, run: 1, outcome: 'done', checkpoint: '' }]
     await clock.advance(50)
     expect(session.takeRunEnds().ends).to.deep.equal([{ task: TASK, run: 1, worker: 'w@0', outcome: 'done', checkpoint: '' }])
