Give a worker on probation one task after another, whatever runs there (LOST)

Cause: two failed runs in a row put a worker on probation, where it got one task and only while nothing ran there. Only a run that ends `done` ends the probation. A task that lasts, as the probe or from before, kept the gate closed for good: it waited for an event that could not come.

The gate limits a rate now. A probe that has neither ended nor failed holds the next one up for 2 s at most, and the back-off after failures ends at 2 s in place of 5: while all workers of a pool are on probation a job with nothing running waits for the next probe, and the rule allows it 3 s.

The new test of the scheduler failed before: the first lasting task left the other job `active` for good.

--- a/src/batch/runStats/index.ts
+++ b/src/batch/runStats/index.ts
@@ -16,13 +16,21 @@
 /** Consecutive failures after which a worker is on probation. */
 const PROBATION_AFTER_FAILURES = 2
 
-/** Back-off before a worker on probation gets a probe task; doubled with each further failure. */
+/**
+ * Back-off before a worker on probation gets a probe task; doubled with each further failure. While all workers of a pool are on probation,
+ * a job that has nothing running waits for the next probe, which it may do for less than 3 s.
+ */
 const INITIAL_PROBE_DELAY_MS: Millis = 600
-const MAX_PROBE_DELAY_MS: Millis = 5000
+const MAX_PROBE_DELAY_MS: Millis = 2000
+
+/** A probe that has not ended after this time, such as a long-running task, holds up the next one no longer. */
+const PROBE_TIMEOUT_MS: Millis = 2000
 
 interface WorkerHistory {
   consecutiveFailures: number
   lastFailureAt: Millis
+  /** When the last task was placed here during the probation. */
+  probedAt: Millis
   /** Moving average of the run time here divided by the expected run time. */
   slowdown: number
 }
@@ -105,19 +113,31 @@
     history.lastFailureAt = now
   }
 
+  /**
+   * Records that a task was placed on a worker, which is a probe while the worker is on probation.
+   *
+   * @param worker - key of the worker's incarnation
+   * @param now - clock reading
+   */
+  observePlacement (worker: string, now: Millis): void {
+    const history = this.#workers.get(worker)
+    if (history !== undefined && isOnProbation(history)) history.probedAt = now
+  }
+
   /**
    * Returns how many tasks may start on a worker now.
    *
    * @param worker - key of the worker's incarnation
    * @param now - clock reading
-   * @param runs - number of runs on the worker
-   * @returns infinity for a healthy worker; on probation 1 when a probe is due and nothing runs there, otherwise 0
+   * @returns infinity for a healthy worker; on probation 1 when a probe is due, otherwise 0
    */
-  countAllowedStarts (worker: string, now: Millis, runs: number): number {
+  countAllowedStarts (worker: string, now: Millis): number {
     const history = this.#workers.get(worker)
-    if (history === undefined || history.consecutiveFailures < PROBATION_AFTER_FAILURES) return Number.POSITIVE_INFINITY
-    const delayMs = Math.min(MAX_PROBE_DELAY_MS, INITIAL_PROBE_DELAY_MS * 2 ** (history.consecutiveFailures - PROBATION_AFTER_FAILURES))
-    return runs === 0 && now - history.lastFailureAt >= delayMs ? 1 : 0
+    if (history === undefined || !isOnProbation(history)) return Number.POSITIVE_INFINITY
+    const { consecutiveFailures, lastFailureAt, probedAt } = history
+    const delayMs = Math.min(MAX_PROBE_DELAY_MS, INITIAL_PROBE_DELAY_MS * 2 ** (consecutiveFailures - PROBATION_AFTER_FAILURES))
+    const isProbeOpen = probedAt > lastFailureAt && now - probedAt < PROBE_TIMEOUT_MS
+    return !isProbeOpen && now - lastFailureAt >= delayMs ? 1 : 0
   }
 
   /**
@@ -141,9 +161,13 @@
   #getHistory (worker: string): WorkerHistory {
     let history = this.#workers.get(worker)
     if (history === undefined) {
-      history = { consecutiveFailures: 0, lastFailureAt: Number.NEGATIVE_INFINITY, slowdown: 1 }
+      history = { consecutiveFailures: 0, lastFailureAt: Number.NEGATIVE_INFINITY, probedAt: Number.NEGATIVE_INFINITY, slowdown: 1 }
       this.#workers.set(worker, history)
     }
     return history
   }
 }
+
+function isOnProbation ({ consecutiveFailures }: WorkerHistory): boolean {
+  return consecutiveFailures >= PROBATION_AFTER_FAILURES
+}
--- a/src/batch/scheduler/index.ts
+++ b/src/batch/scheduler/index.ts
@@ -198,10 +198,11 @@
   }
 
   #sendStart ({ task, run, worker }: Placement): void {
-    const { state, metrics } = this.#context
+    const { clock, state, metrics } = this.#context
     const position = parseTask(task) as TaskPosition
     const job = state.data.jobs.get(position.job) as JobRecord
     metrics.count('oleanderward_starts')
+    this.#stats.observePlacement(worker, clock.now())
     const session = this.#registry.sessionOf(worker)
     const stepKey = `${position.job}.${position.occurrence}.${position.step}`
     void session?.start({ task, run, payload: job.payload, checkpoint: findTaskRecord(job, position)?.checkpoint ?? '', ticket: this.#policies.getTicket(stepKey, worker), isTrial: isSuspectTask(task, state) })
@@ -278,8 +279,7 @@
     for (const session of this.#registry.sessionsOf(service)) {
       const { record, key } = session
       if (record.isDraining || !session.isLive || this.#policies.isCordoned(session)) continue
-      const runs = state.runsOn(key)
-      const startsLeft = this.#stats.countAllowedStarts(key, clock.now(), runs.size)
+      const startsLeft = this.#stats.countAllowedStarts(key, clock.now())
       if (startsLeft === 0) continue
       const trials = hasSuspects ? describeTrials(session, state) : undefined
       if (trials?.isTrial === true) continue
--- a/src/batch/scheduler/test.ts
+++ b/src/batch/scheduler/test.ts
@@ -8,7 +8,7 @@
 import { RunStats } from '../runStats/index.js'
 import { BatchState } from '../state/index.js'
 import type { BatchCommand } from '../state/records.js'
-import type { EndedRun, WorkerReport } from '../types.js'
+import type { EndedRun, RunOutcome, WorkerReport } from '../types.js'
 import { BatchScheduler } from './index.js'
 
 const RUNNING_JOB = '00000000000000aa'
@@ -39,10 +39,10 @@
     throw new Error('the call was not answered within its timeout')
   }
 
-  endRun (task: string): void {
+  endRun (task: string, outcome: RunOutcome = 'done'): void {
     const run = this.running.get(task) as number
     this.running.delete(task)
-    this.#ended.push({ seq: ++this.#lastSeq, task, run, outcome: 'done', checkpoint: '' })
+    this.#ended.push({ seq: ++this.#lastSeq, task, run, outcome, checkpoint: '' })
     this.#wake()
   }
 
@@ -206,6 +206,26 @@
     stop()
   })
 
+  it('gives a worker on probation that holds a long-running task other work too (LOST, jobs never began on empty workers)', async () => {
+    const { clock, state, workers, submit, stop } = createHarness(1)
+    const worker = workers.get('booth-0') as FakeWorker
+    submit(RUNNING_JOB, { steps: [createStep({ count: 4 })] })
+    await clock.advance(200)
+    for (const task of [...worker.running.keys()]) worker.endRun(task, 'failed')
+    submit('00000000000000bb', { steps: [createStep({ count: 2, isLasting: true })] })
+    submit('00000000000000cc')
+    const startedAt = new Map<string, number>()
+    const began = clock.now()
+    while (clock.now() < began + 12_000) {
+      await clock.advance(50)
+      for (const task of worker.running.keys()) if (!startedAt.has(task)) startedAt.set(task, clock.now() - began)
+      for (const task of [...worker.running.keys()].filter((task) => task.startsWith(RUNNING_JOB))) worker.endRun(task, 'failed')
+    }
+    expect(state.data.jobs.get(RUNNING_JOB)?.state).to.equal('failed')
+    expect([...startedAt.keys()].filter((task) => !task.startsWith(RUNNING_JOB)).sort()).to.deep.equal(['00000000000000bb.0.0.0', '00000000000000bb.0.0.1', '00000000000000cc.0.0.0'])
+    stop()
+  })
+
   describe('while the capacity of a worker shrinks', () => {
     const TASKS = 12
     /** Reports a worker of 16 cores with another capacity. */
