Start a gang on workers on probation as a whole (LOST)

A worker on probation may start one task at a time. A gang that needs more tasks than there are workers could therefore not be placed while all workers of its pool were on probation, and with nothing else waiting no run could end `done` and end the probation: the gang never began.

A gang counts as one start on each worker now: it is one probe.

Evidence: the new test of planStarts failed before (the single task behind the gang was started, the gang was not). The plans of groups one by one and of all together still agree (property test).

--- a/src/batch/planStarts/index.ts
+++ b/src/batch/planStarts/index.ts
@@ -19,7 +19,7 @@
   free: { cpu: number, memory: number, accelerators: number }
   /** Number of tasks by step key, for per-worker limits and for spreading. */
   readonly taskCountByStep: Map<string, number>
-  /** How many more tasks may start here; one for a worker on probation. */
+  /** How many more tasks may start here, where a gang counts as one; one for a worker on probation. */
   startsLeft: number
   /** Run time here divided by the run time on a healthy worker. */
   readonly slowdown: number
@@ -81,9 +81,10 @@
     if (available.length === 0) break
     const mayReserve = group.mayReserve && group.members.length === 1 && reserved.size < MAX_RESERVATIONS
     if (!mayReserve && unplaceable.includes(group)) continue
-    const placed = placeGroup(available, group.members)
-    if (placed !== null) {
-      starts.push(...placed)
+    const assignments = placeGroup(available, group.members)
+    if (assignments !== null) {
+      for (const { worker, member } of assignments) starts.push({ task: member.task, worker: worker.key })
+      for (const worker of new Set(assignments.map(({ worker }) => worker))) worker.startsLeft -= 1
       if (available.some(({ startsLeft }) => startsLeft <= 0)) available = available.filter(({ startsLeft }) => startsLeft > 0)
       continue
     }
@@ -125,9 +126,13 @@
   return { cpu: isFiller ? 0 : cpu, memory, accelerators }
 }
 
-function placeGroup (workers: readonly PoolWorker[], members: readonly StartableTask[]): PlannedStart[] | null {
-  const starts: PlannedStart[] = []
-  const assignments: Array<{ readonly worker: PoolWorker, readonly member: StartableTask }> = []
+interface Assignment {
+  readonly worker: PoolWorker
+  readonly member: StartableTask
+}
+
+function placeGroup (workers: readonly PoolWorker[], members: readonly StartableTask[]): readonly Assignment[] | null {
+  const assignments: Assignment[] = []
   for (const member of members) {
     const worker = findBestWorker(workers, member, assignments.map((other) => other.worker))
     if (worker === undefined) {
@@ -136,19 +141,18 @@
     }
     adjustAllocation(worker, member, 1)
     assignments.push({ worker, member })
-    starts.push({ task: member.task, worker: worker.key })
   }
-  return starts
+  return assignments
 }
 
 function findBestWorker (workers: readonly PoolWorker[], member: StartableTask, groupWorkers: readonly PoolWorker[]): PoolWorker | undefined {
   // The tasks of a suspected job start on one worker, unless they are a gang that needs several.
   const trialWorker = member.suspectJob === null || member.step.isGang ? undefined : workers.find(({ trialJob }) => trialJob === member.suspectJob)
-  if (trialWorker !== undefined) return trialWorker.startsLeft > 0 && isSuitable(trialWorker, member) && hasFreeCapacity(trialWorker, member.step) ? trialWorker : undefined
+  if (trialWorker !== undefined) return isSuitable(trialWorker, member) && hasFreeCapacity(trialWorker, member.step) ? trialWorker : undefined
   let best: PoolWorker | undefined
   let bestCost = Number.POSITIVE_INFINITY
   for (const worker of workers) {
-    if (worker.startsLeft <= 0 || !isSuitable(worker, member) || !isOpenTo(worker, member) || !hasFreeCapacity(worker, member.step)) continue
+    if (!isSuitable(worker, member) || !isOpenTo(worker, member) || !hasFreeCapacity(worker, member.step)) continue
     const cost = computeCost(worker, member, groupWorkers)
     if (cost < bestCost) {
       best = worker
@@ -196,7 +200,6 @@
   worker.free.accelerators -= sign * step.accelerators
   if (!step.isFiller) worker.free.cpu -= sign * step.cpu
   worker.taskCountByStep.set(stepKey, (worker.taskCountByStep.get(stepKey) ?? 0) + sign)
-  worker.startsLeft -= sign
   worker.freshRuns += sign
   if (suspectJob !== null) worker.trialJob = worker.freshRuns > 0 ? suspectJob : null
 }
--- a/src/batch/planStarts/test.ts
+++ b/src/batch/planStarts/test.ts
@@ -107,6 +107,12 @@
     expect(planStarts([createPoolWorker('w', { startsLeft: 1 })], [createGroup('s#1'), createGroup('s#2')])).to.have.length(1)
   })
 
+  it('starts a gang that needs several tasks of each worker on workers on probation (LOST, gang never began)', () => {
+    const members = [1, 2, 3, 4].map((i) => createGroup(`s#${i}`, { isGang: true, count: 4 }).members[0] as StartableTask)
+    const workers = [createPoolWorker('w', { startsLeft: 1, free: { cpu: 2000, memory: 8000, accelerators: 0 } }), createPoolWorker('x', { startsLeft: 1, free: { cpu: 2000, memory: 8000, accelerators: 0 } })]
+    expect(planStarts(workers, [{ members, mayReserve: false }, createGroup('t#1', { cpu: 1 })])).to.have.length(4)
+  })
+
   it('uses only workers that the advisor allows', () => {
     const group: StartGroup = { mayReserve: true, members: [{ task: 's', stepKey: 's', step: createStep(), failedOn: [], allowed: new Set(['x']), suspectJob: null }] }
     expect(planStarts([createPoolWorker('w'), createPoolWorker('x')], [group])).to.deep.equal([{ task: 's', worker: 'x' }])
