End probation with resumed runs and with lasting tasks at work (LOST)

Cause: the proof that ends a probation could not come.

A run that ends `done` ends the probation now, resumed or not; only its run time is left out. So does a lasting task that is at work and started after the worker's last failure. The failure of a lasting task counts only during its first 2 s.

--- a/bench/policies/player.ts
+++ b/bench/policies/player.ts
@@ -123,8 +123,10 @@
       const position = parseTask(task) as TaskPosition
       const job = this.#state.data.jobs.get(position.job) as JobRecord
       const active = this.#state.runsOn(worker).get(task)
-      if (outcome === 'done' && active !== undefined) this.#stats.observeCompletedRun(job.queue, worker, job.steps[position.step]?.estimateMs ?? 0, at - active.placedAt)
-      else this.#stats.observeFailedRun(worker, at)
+      if (outcome === 'done' && active !== undefined) {
+        this.#stats.observeSoundRun(worker)
+        this.#stats.observeCompletedRun(job.queue, worker, job.steps[position.step]?.estimateMs ?? 0, at - active.placedAt)
+      } else this.#stats.observeFailedRun(worker, at)
     }
     this.#apply({ type: 'end', at, ends: ended.map(({ task, run, worker, outcome }): RunEnd => ({ task, run, worker, outcome, checkpoint: '' })) })
   }
--- a/src/batch/judgeProgress/index.ts
+++ b/src/batch/judgeProgress/index.ts
@@ -47,7 +47,8 @@
 /** On a slow worker, runs with at least this progress continue. */
 const KEEP_RUNNING_PERCENT = 60
 
-const COMPLETE_PERCENT = 100
+/** Progress of a run that is about to end, and of a long-running task that is at work. */
+export const COMPLETE_PERCENT = 100
 
 /**
  * Judges the health of one worker by the progress of its runs.
--- a/src/batch/progressWatch/index.ts
+++ b/src/batch/progressWatch/index.ts
@@ -1,11 +1,11 @@
-/** Monitors the progress of all runs, and moves work away from stalled or slow workers. */
+/** Monitors the progress of all runs, moves work away from stalled or slow workers, and notes which workers run long-running tasks well. */
 import type { Millis } from '../../clock/index.js'
 import type { WorkerRegistry } from '../../workers/registry/index.js'
 import type { WorkerSession } from '../../workers/session/index.js'
-import { judgeProgress, type RunProgress } from '../judgeProgress/index.js'
+import { COMPLETE_PERCENT, judgeProgress, type RunProgress } from '../judgeProgress/index.js'
 import type { TermContext } from '../leader/context.js'
 import type { RunStats } from '../runStats/index.js'
-import { parseTask } from '../types.js'
+import { parseTask, type Step } from '../types.js'
 
 const CYCLE_INTERVAL_MS: Millis = 250
 
@@ -47,6 +47,7 @@
     for (const session of this.#registry.sessions) {
       if (!session.isLive) continue
       liveWorkerCounts.set(session.record.service, (liveWorkerCounts.get(session.record.service) ?? 0) + 1)
+      if (this.#stats.hasFailures(session.key)) this.#observeTasksAtWork(session)
       const { state, tasksToStop } = judgeProgress(this.#describeRuns(session))
       if (state !== 'healthy' && tasksToStop.length > 0) suspects.push({ session, state, tasksToStop })
     }
@@ -60,6 +61,19 @@
     }
   }
 
+  /** A long-running task never ends as done, so that its being at work is what shows that its worker is sound. */
+  #observeTasksAtWork (session: WorkerSession): void {
+    for (const [task, { run }] of this.#context.state.runsOn(session.key)) {
+      const order = session.orders.get(task)
+      if (order?.run === run && order.percent >= COMPLETE_PERCENT && this.#findStep(task)?.isLasting === true) this.#stats.observeSoundRun(session.key, order.startedAt)
+    }
+  }
+
+  #findStep (task: string): Step | undefined {
+    const position = parseTask(task)
+    return position === null ? undefined : this.#context.state.data.jobs.get(position.job)?.steps[position.step]
+  }
+
   #describeRuns (session: WorkerSession): RunProgress[] {
     const { clock, state } = this.#context
     const now = clock.now()
--- a/src/batch/runEndRecorder/index.ts
+++ b/src/batch/runEndRecorder/index.ts
@@ -1,4 +1,5 @@
 /** Commits the ends of runs that workers report and that the leader concludes, and only then acknowledges them. */
+import type { Millis } from '../../clock/index.js'
 import type { WorkerRegistry } from '../../workers/registry/index.js'
 import { judgeEnd } from '../judgeEnd/index.js'
 import type { TermContext } from '../leader/context.js'
@@ -7,6 +8,9 @@
 import type { JobRecord, RunEnd } from '../state/records.js'
 import { parseTask, type TaskPosition } from '../types.js'
 
+/** A long-running task may fail at any time; one that fails later than this after its placement says nothing about its worker. */
+const MAX_STARTUP_MS: Millis = 2000
+
 /** Records run ends during one term. */
 export class RunEndRecorder {
   readonly #context: TermContext
@@ -69,9 +73,12 @@
     const job = state.data.jobs.get(id) as JobRecord
     const active = state.runsOn(worker).get(task)
     if (active?.run !== run) return
+    const step = job.steps[stepIndex]
+    const ranMs = clock.wall() - active.placedAt
     if (outcome === 'done') {
-      const step = job.steps[stepIndex]
-      if (step !== undefined && checkpoint === '') this.#stats.observeCompletedRun(job.queue, worker, step.estimateMs, clock.wall() - active.placedAt)
-    } else if (outcome === 'failed') this.#stats.observeFailedRun(worker, clock.now())
+      this.#stats.observeSoundRun(worker)
+      // A run that continued from a checkpoint tells nothing about the run time.
+      if (step !== undefined && checkpoint === '') this.#stats.observeCompletedRun(job.queue, worker, step.estimateMs, ranMs)
+    } else if (outcome === 'failed' && (step?.isLasting !== true || ranMs < MAX_STARTUP_MS)) this.#stats.observeFailedRun(worker, clock.now())
   }
 }
--- a/src/batch/runEndRecorder/test.ts
+++ b/src/batch/runEndRecorder/test.ts
@@ -8,21 +8,33 @@
 import { LostRuns } from '../lostRuns/index.js'
 import { RunStats } from '../runStats/index.js'
 import type { BatchCommandType } from '../state/records.js'
+import type { RunOutcome, Step } from '../types.js'
 import { RunEndRecorder } from './index.js'
 
 const TASK = `${JOB_ID}.0.0.0`
 
-/** A term in which worker `w` has finished a run, and in which proposals of one type are rejected. */
-function createHarness (rejected: BatchCommandType) {
+interface HarnessOptions {
+  /** Type of the proposals that are rejected. */
+  readonly rejected?: BatchCommandType
+  readonly outcome?: RunOutcome
+  readonly checkpoint?: string
+  readonly step?: Partial<Step>
+  /** Time since the placement of the run. */
+  readonly placedMsAgo?: number
+}
+
+/** A term in which a run on worker `w` has ended. */
+function createHarness ({ rejected, outcome = 'done', checkpoint = '', step = {}, placedMsAgo = 1000 }: HarnessOptions = {}) {
   const clock = new ManualClock()
+  const stats = new RunStats()
   const harness = createStateHarness()
   const acknowledged: number[] = []
   const failing = { isOver: false }
-  harness.accept({ steps: [createStep()] })
-  harness.place(TASK, 1)
+  harness.accept({ steps: [createStep(step)] })
+  harness.state.apply(1, { type: 'place', at: clock.wall() - placedMsAgo, placements: [{ task: TASK, run: 1, worker: 'w@1' }] })
   const connect = ({ id }: { readonly id: string }): WorkerCalls => ({
     poll: async ({ acknowledgedSeq, waitMs }: WorkerPollRequest) => {
-      const ended = id === 'w' && acknowledgedSeq < 1 ? [{ seq: 1, task: TASK, run: 1, outcome: 'done', checkpoint: '' } as const] : []
+      const ended = id === 'w' && acknowledgedSeq < 1 ? [{ seq: 1, task: TASK, run: 1, outcome, checkpoint } as const] : []
       if (id === 'w') acknowledged.push(acknowledgedSeq)
       await clock.sleep(ended.length > 0 ? 5 : 5 + waitMs)
       return { refusal: null, clockMs: clock.now(), born: 1, running: [], ended, hasMoreEnds: false }
@@ -36,14 +48,14 @@
     }
   })
   const registry = new WorkerRegistry(context, { connect, countCallers: () => 1 }, () => {})
-  const recorder = new RunEndRecorder(context, registry, new LostRuns(clock, harness.state, registry), new RunStats())
-  return { clock, harness, registry, recorder, acknowledged, failing }
+  const recorder = new RunEndRecorder(context, registry, new LostRuns(clock, harness.state, registry), stats)
+  return { clock, stats, harness, registry, recorder, acknowledged, failing }
 }
 
 describe('RunEndRecorder', () => {
   // The ends of a failed round were dropped, and acknowledged with those of the next one.
   it('commits the ends of a round that failed before it acknowledges them (TWICE)', async () => {
-    const { clock, harness, registry, recorder, acknowledged, failing } = createHarness('end')
+    const { clock, harness, registry, recorder, acknowledged, failing } = createHarness({ rejected: 'end' })
     await clock.advance(100)
     let failure: unknown
     await recorder.record(false).catch((err: unknown) => { failure = err })
@@ -59,7 +71,7 @@
   })
 
   it('keeps the ends when an earlier proposal of the round fails', async () => {
-    const { clock, harness, registry, recorder, acknowledged, failing } = createHarness('enrol')
+    const { clock, harness, registry, recorder, acknowledged, failing } = createHarness({ rejected: 'enrol' })
     await clock.advance(100)
     harness.state.data.unconfirmedCrashes.set('x@1', { id: 'x', machine: 'm-x', born: 1, tasks: [], at: 1 })
     await recorder.record(true).catch(() => {})
@@ -70,4 +82,23 @@
     expect(acknowledged.at(-1)).to.equal(1)
     registry.end()
   })
+
+  it('ends the probation of a worker with a run that continued from a checkpoint (LOST, worker closed for good)', async () => {
+    const { clock, registry, recorder, stats } = createHarness({ checkpoint: 'c1', step: { isCheckpointable: true } })
+    for (let i = 0; i < 2; i++) stats.observeFailedRun('w@1', clock.now())
+    await clock.advance(100)
+    await recorder.record(false)
+    expect(stats.hasFailures('w@1')).to.equal(false)
+    registry.end()
+  })
+
+  for (const [when, placedMsAgo, isCounted] of [['while it starts', 500, true], ['once it is at work', 5000, false]] as const) {
+    it(`${isCounted ? 'counts' : 'does not count'} the failure of a long-running task against its worker ${when}`, async () => {
+      const { clock, registry, recorder, stats } = createHarness({ outcome: 'failed', step: { isLasting: true }, placedMsAgo })
+      await clock.advance(100)
+      await recorder.record(false)
+      expect(stats.hasFailures('w@1')).to.equal(isCounted)
+      registry.end()
+    })
+  }
 })
--- a/src/batch/runStats/index.ts
+++ b/src/batch/runStats/index.ts
@@ -71,7 +71,28 @@
   }
 
   /**
-   * Records a run that ended as done. Ends the probation of its worker.
+   * Returns whether a worker has failed runs and none in order since.
+   *
+   * @param worker - key of the worker's incarnation
+   */
+  hasFailures (worker: string): boolean {
+    return (this.#workers.get(worker)?.consecutiveFailures ?? 0) > 0
+  }
+
+  /**
+   * Records that a run on a worker is in order: it ended as done, or it is long-running and at work. Ends the probation of a worker unless it has
+   * failed a run since.
+   *
+   * @param worker - key of the worker's incarnation
+   * @param startedAt - clock reading when the run started; left out for a run that has ended now
+   */
+  observeSoundRun (worker: string, startedAt: Millis = Number.POSITIVE_INFINITY): void {
+    const history = this.#workers.get(worker)
+    if (history !== undefined && startedAt > history.lastFailureAt) history.consecutiveFailures = 0
+  }
+
+  /**
+   * Records the run time of a run that ended as done.
    *
    * @param queue - key of the queue
    * @param worker - key of the worker's incarnation
@@ -79,9 +100,8 @@
    * @param durationMs - run time, in ms
    */
   observeCompletedRun (queue: string, worker: string, estimateMs: Millis, durationMs: Millis): void {
-    const history = this.#getHistory(worker)
-    history.consecutiveFailures = 0
     if (estimateMs <= 0) return
+    const history = this.#getHistory(worker)
     const correction = this.getEstimateCorrection(queue)
     const ratio = durationMs / estimateMs
     history.slowdown += MOVING_AVERAGE_WEIGHT * 2 * (Math.min(MAX_CORRECTION, Math.max(MIN_CORRECTION, ratio / correction)) - history.slowdown)
--- a/src/batch/runStats/test.ts
+++ b/src/batch/runStats/test.ts
@@ -18,7 +18,17 @@
     expect(stats.countAllowedStarts('w', 700)).to.equal(1)
     stats.observePlacement('w', 700)
     expect(stats.countAllowedStarts('w', 701)).to.equal(0)
-    stats.observeCompletedRun('q', 'w', 1000, 1000)
+    stats.observeSoundRun('w')
+    expect(stats.countAllowedStarts('w', 701)).to.equal(Number.POSITIVE_INFINITY)
+  })
+
+  it('ends the probation of a worker with a long-running task that is at work since its last failure, and with no earlier one', () => {
+    const stats = new RunStats()
+    for (const at of [0, 1]) stats.observeFailedRun('w', at)
+    stats.observeSoundRun('w', 1)
+    expect(stats.hasFailures('w')).to.equal(true)
+    stats.observeSoundRun('w', 700)
+    expect(stats.hasFailures('w')).to.equal(false)
     expect(stats.countAllowedStarts('w', 701)).to.equal(Number.POSITIVE_INFINITY)
   })
 
