Count the failures of one job once against a worker (LOST)

Failures were counted by run, and the tasks of one job that can't be done fail on every worker within a second.

The failures of a job count once against a worker, unless tasks of the same step are done elsewhere: then they are the worker's own.

--- a/bench/policies/player.ts
+++ b/bench/policies/player.ts
@@ -126,7 +126,7 @@
       if (outcome === 'done' && active !== undefined) {
         this.#stats.observeSoundRun(worker)
         this.#stats.observeCompletedRun(job.queue, worker, job.steps[position.step]?.estimateMs ?? 0, at - active.placedAt)
-      } else this.#stats.observeFailedRun(worker, at)
+      } else this.#stats.observeFailedRun(worker, { job: job.id, isStepProven: (job.occurrences.get(0)?.[position.step]?.doneCount ?? 0) > 0 }, at)
     }
     this.#apply({ type: 'end', at, ends: ended.map(({ task, run, worker, outcome }): RunEnd => ({ task, run, worker, outcome, checkpoint: '' })) })
   }
--- a/src/batch/progressWatch/test.ts
+++ b/src/batch/progressWatch/test.ts
@@ -10,6 +10,9 @@
 
 const TASK = `${JOB_ID}.0.0.0`
 
+/** A failed run of a step of which other tasks are done. */
+const PROVEN = { job: JOB_ID, isStepProven: true }
+
 /** Watches worker `w`, which has failed two runs, and holds a long-running task that began some time after them. */
 async function hasFailuresAfterWatch (percent: number, startedAfterMs: number): Promise<boolean> {
   const clock = new ManualClock()
@@ -17,7 +20,7 @@
   harness.accept({ steps: [createStep({ isLasting: true })] })
   harness.place(TASK, 1)
   const stats = new RunStats()
-  for (let i = 0; i < 2; i++) stats.observeFailedRun('w@1', clock.now())
+  for (let i = 0; i < 2; i++) stats.observeFailedRun('w@1', PROVEN, clock.now())
   const orders = new RunOrders()
   orders.set(TASK, { ...createRunOrder(1, clock.now() + startedAfterMs), phase: 'started', percent })
   const end = new AbortController()
--- a/src/batch/runEndRecorder/index.ts
+++ b/src/batch/runEndRecorder/index.ts
@@ -69,7 +69,7 @@
       return
     }
     if (outcome !== 'done') log.info('run.ended', { task, run, worker, outcome, evidence: end.evidence ?? undefined })
-    const { job: id, step: stepIndex } = parseTask(task) as TaskPosition
+    const { job: id, occurrence, step: stepIndex } = parseTask(task) as TaskPosition
     const job = state.data.jobs.get(id) as JobRecord
     const active = state.runsOn(worker).get(task)
     if (active?.run !== run) return
@@ -79,6 +79,9 @@
       this.#stats.observeSoundRun(worker)
       // A run that continued from a checkpoint tells nothing about the run time.
       if (step !== undefined && checkpoint === '') this.#stats.observeCompletedRun(job.queue, worker, step.estimateMs, ranMs)
-    } else if (outcome === 'failed' && (step?.isLasting !== true || ranMs < MAX_STARTUP_MS)) this.#stats.observeFailedRun(worker, clock.now())
+    } else if (outcome === 'failed' && (step?.isLasting !== true || ranMs < MAX_STARTUP_MS)) {
+      const isStepProven = (job.occurrences.get(occurrence)?.[stepIndex]?.doneCount ?? 0) > 0
+      this.#stats.observeFailedRun(worker, { job: id, isStepProven }, clock.now())
+    }
   }
 }
--- a/src/batch/runEndRecorder/test.ts
+++ b/src/batch/runEndRecorder/test.ts
@@ -13,6 +13,9 @@
 
 const TASK = `${JOB_ID}.0.0.0`
 
+/** A failed run of a step of which other tasks are done. */
+const PROVEN = { job: JOB_ID, isStepProven: true }
+
 interface HarnessOptions {
   /** Type of the proposals that are rejected. */
   readonly rejected?: BatchCommandType
@@ -85,7 +88,7 @@
 
   it('ends the probation of a worker with a run that continued from a checkpoint (LOST, worker closed for good)', async () => {
     const { clock, registry, recorder, stats } = createHarness({ checkpoint: 'c1', step: { isCheckpointable: true } })
-    for (let i = 0; i < 2; i++) stats.observeFailedRun('w@1', clock.now())
+    for (let i = 0; i < 2; i++) stats.observeFailedRun('w@1', PROVEN, clock.now())
     await clock.advance(100)
     await recorder.record(false)
     expect(stats.hasFailures('w@1')).to.equal(false)
--- a/src/batch/runStats/index.ts
+++ b/src/batch/runStats/index.ts
@@ -13,7 +13,7 @@
 const MIN_CORRECTION = 0.3
 const MAX_CORRECTION = 4
 
-/** Consecutive failures after which a worker is on probation. */
+/** Consecutive failures after which a worker is on probation, where those of one job count once while it has failed everywhere. */
 const PROBATION_AFTER_FAILURES = 2
 
 /**
@@ -28,6 +28,8 @@
 
 interface WorkerHistory {
   consecutiveFailures: number
+  /** Jobs with failures here since the last run in order. */
+  readonly failedJobs: Set<string>
   lastFailureAt: Millis
   /** When the last task was placed here during the probation. */
   probedAt: Millis
@@ -35,6 +37,13 @@
   slowdown: number
 }
 
+/** A run that has failed. */
+export interface FailedRun {
+  readonly job: string
+  /** Whether tasks of the same step have ended as done. */
+  readonly isStepProven: boolean
+}
+
 /** Moving averages by queue and failure history by worker, kept by the leader for one term. */
 export class RunStats {
   readonly #corrections = new Map<string, number>()
@@ -88,7 +97,9 @@
    */
   observeSoundRun (worker: string, startedAt: Millis = Number.POSITIVE_INFINITY): void {
     const history = this.#workers.get(worker)
-    if (history !== undefined && startedAt > history.lastFailureAt) history.consecutiveFailures = 0
+    if (history === undefined || startedAt <= history.lastFailureAt) return
+    history.consecutiveFailures = 0
+    history.failedJobs.clear()
   }
 
   /**
@@ -110,14 +121,17 @@
   }
 
   /**
-   * Records a failed run.
+   * Records a failed run. A job that can't be done fails wherever it runs, so that its failures count once against a worker; those of a step
+   * of which other tasks are done count each.
    *
    * @param worker - key of the worker's incarnation
+   * @param run - id of the job, and whether tasks of the same step have ended as done
    * @param now - clock reading
    */
-  observeFailedRun (worker: string, now: Millis): void {
+  observeFailedRun (worker: string, { job, isStepProven }: FailedRun, now: Millis): void {
     const history = this.#getHistory(worker)
-    history.consecutiveFailures += 1
+    if (isStepProven || !history.failedJobs.has(job)) history.consecutiveFailures += 1
+    history.failedJobs.add(job)
     history.lastFailureAt = now
   }
 
@@ -181,7 +195,7 @@
   #getHistory (worker: string): WorkerHistory {
     let history = this.#workers.get(worker)
     if (history === undefined) {
-      history = { consecutiveFailures: 0, lastFailureAt: Number.NEGATIVE_INFINITY, probedAt: Number.NEGATIVE_INFINITY, slowdown: 1 }
+      history = { consecutiveFailures: 0, failedJobs: new Set(), lastFailureAt: Number.NEGATIVE_INFINITY, probedAt: Number.NEGATIVE_INFINITY, slowdown: 1 }
       this.#workers.set(worker, history)
     }
     return history
