--- a/bench/policies/player.ts
+++ b/bench/policies/player.ts
@@ -7,7 +7,7 @@
 import { planStarts, type StartGroup } from '../../src/batch/planStarts/index.js'
 import { createPoolWorker } from '../../src/batch/poolWorker/index.js'
 import { RunStats } from '../../src/batch/runStats/index.js'
-import { queueKey } from '../../src/batch/state/handlers.js'
+import { queueKey } from '../../src/batch/state/queues/index.js'
 import { BatchState } from '../../src/batch/state/index.js'
 import type { BatchCommand, JobRecord, Placement, RunEnd } from '../../src/batch/state/records.js'
 import { parseTask, type Queue, type TaskPosition } from '../../src/batch/types.js'
--- a/src/batch/checkConfig/index.ts
+++ b/src/batch/checkConfig/index.ts
@@ -1,6 +1,6 @@
 /** Validates a configuration of queues and services. */
 import type { Finding } from '../../contracts/findings/index.js'
-import { queueKey } from '../state/handlers.js'
+import { queueKey } from '../state/queues/index.js'
 import type { QueueConfig } from '../types.js'
 
 /**
--- a/src/batch/explainBatch/index.ts
+++ b/src/batch/explainBatch/index.ts
@@ -2,7 +2,7 @@
 import type { Millis } from '../../clock/index.js'
 import type { WorkerSession } from '../../workers/session/index.js'
 import { countDueOccurrences } from '../candidates/index.js'
-import { queueKey } from '../state/handlers.js'
+import { findQueue, queueKey } from '../state/queues/index.js'
 import type { BatchState } from '../state/index.js'
 import type { JobRecord, StepRecord } from '../state/records.js'
 import { parseTask, type Queue } from '../types.js'
@@ -52,9 +52,11 @@
 function explainJob (context: BatchExplainContext, name: string): string[] | null {
   const job = context.state.data.jobs.get(name)
   if (job === undefined) return null
-  const queue = findQueue(context, job)
+  const { config } = context.state.data
+  const queue = findQueue(context.state.data, job.queue)
+  const isConfigured = config?.queues.some((other) => queueKey(other) === job.queue) === true
   const service = queue?.service ?? job.service
-  const lines = [`Job ${job.id} is ${job.state}, was accepted ${formatAge(context, job.acceptedAt)} ago in queue ${queue?.name ?? `${job.queue}, which is no longer configured`}, and runs on ${service}.`]
+  const lines = [`Job ${job.id} is ${job.state}, was accepted ${formatAge(context, job.acceptedAt)} ago in queue ${queue?.name ?? job.queue}${isConfigured ? '' : ', which is no longer configured'}, and runs on ${service}.`]
   if (job.repeatCount > 0) lines.push(`Of its ${job.repeatCount} occurrences ${job.doneOccurrences} are done and ${countDueOccurrences(job, context.wall)} are due.`)
   for (const [occurrence, steps] of job.occurrences) lines.push(...steps.map((step, i) => describeStep(job, occurrence, i, step)))
   if (job.state === 'active' && !job.hasStarted) lines.push('None of its tasks has started.', describePool(context, service))
@@ -78,7 +80,7 @@
   if (task.failedOn.length > 0) lines.push(`It failed on ${task.failedOn.join(', ')}.`)
   if (!task.isDone && task.active.length === 0 && job.state === 'active') {
     lines.push(task.lastRun === 0 ? 'It is waiting for its first run.' : `It has been waiting since its last run ended ${formatAge(context, task.lastEndAt)} ago.`)
-    lines.push(describePool(context, findQueue(context, job)?.service ?? job.service))
+    lines.push(describePool(context, findQueue(context.state.data, job.queue)?.service ?? job.service))
   }
   return lines
 }
@@ -115,11 +117,14 @@
 }
 
 function explainQueue (context: BatchExplainContext, name: string): string[] | null {
-  const queue = context.state.data.config?.queues.find((queue) => queue.name === name || queueKey(queue) === name)
+  const { config, retiredQueues } = context.state.data
+  const isNamed = (queue: Queue): boolean => queue.name === name || queueKey(queue) === name
+  const configured = config?.queues.find(isNamed)
+  const queue = configured ?? [...retiredQueues.values()].find(isNamed)
   if (queue === undefined) return null
   const active = [...context.state.activeJobs.values()].filter((job) => job.queue === queueKey(queue))
   return [
-    `Queue ${queue.name} (${queueKey(queue)}) is served by ${queue.service}, priority ${queue.priority}; a task fails permanently after ${queue.maxAttempts} failures.`,
+    `Queue ${queue.name} (${queueKey(queue)}) is served by ${queue.service}, priority ${queue.priority}; a task fails permanently after ${queue.maxAttempts} failures.${configured === undefined ? ' It is no longer configured; its jobs go on.' : ''}`,
     `${active.length} jobs are active, of which ${context.state.getPendingCount(queueKey(queue))} have not started.`,
     describePool(context, queue.service)
   ]
@@ -147,10 +152,6 @@
   ]
 }
 
-function findQueue ({ state }: BatchExplainContext, job: JobRecord): Queue | undefined {
-  return state.data.config?.queues.find((queue) => queueKey(queue) === job.queue)
-}
-
 function formatAge ({ wall }: BatchExplainContext, at: Millis): string {
   return `${((wall - at) / 1000).toFixed(1)} s`
 }
--- a/src/batch/scheduler/index.ts
+++ b/src/batch/scheduler/index.ts
@@ -16,10 +16,10 @@
 import { planStarts, type PlannedStart, type PoolWorker, type StartGroup } from '../planStarts/index.js'
 import { RunEndRecorder } from '../runEndRecorder/index.js'
 import type { RunStats } from '../runStats/index.js'
-import { queueKey } from '../state/handlers.js'
+import { findQueue } from '../state/queues/index.js'
 import type { JobRecord, Placement, TaskRecord } from '../state/records.js'
 import { describeTrials, isOnTrial, isSuspectTask } from '../trials/index.js'
-import { parseTask, type Queue, type QueueConfig, type Resources, type TaskPosition } from '../types.js'
+import { parseTask, type Queue, type Resources, type TaskPosition } from '../types.js'
 
 /** Batches run ends that arrive close together into one commit. */
 const CYCLE_PAUSE_MS: Millis = 8
@@ -55,8 +55,6 @@
   #workersCheckedAt: Millis = Number.NEGATIVE_INFINITY
   /** Whether this cycle looks for expired leases and workers to dismiss. */
   #isWorkerCheckDue = true
-  #queues = new Map<string, Queue>()
-  #config: QueueConfig | null = null
 
   /**
    * @param context - shared dependencies of the term
@@ -93,11 +91,10 @@
    * Returns the service whose workers run a job's tasks.
    *
    * @param job - the job
-   * @returns name of the service that the job's queue has now, or had at acceptance when it is no longer configured
+   * @returns name of the service that the job's queue has now, or had last when it is no longer configured
    */
   getService (job: JobRecord): string {
-    this.#refreshQueues()
-    return this.#queues.get(job.queue)?.service ?? job.service
+    return this.#findQueue(job)?.service ?? job.service
   }
 
   /**
@@ -109,10 +106,13 @@
     return this.#workersWithPendingPlacements.has(worker)
   }
 
+  #findQueue (job: JobRecord): Queue | undefined {
+    return findQueue(this.#context.state.data, job.queue)
+  }
+
   /** Returns the services that a queue or an active job uses. */
   services (): ReadonlySet<string> {
-    this.#refreshQueues()
-    const services = new Set([...this.#queues.values()].map(({ service }) => service))
+    const services = new Set(this.#context.state.data.config?.queues.map(({ service }) => service) ?? [])
     for (const job of this.#context.state.activeJobs.values()) services.add(this.getService(job))
     return services
   }
@@ -210,7 +210,6 @@
 
   #planPlacements (): Placement[] {
     const { state, clock } = this.#context
-    this.#refreshQueues()
     const wall = clock.wall()
     const byService = new Map<string, JobRecord[]>()
     const servicesWithSuspects = new Set<string>()
@@ -252,13 +251,13 @@
 
   * #listStartGroups (service: string, jobs: readonly JobRecord[], wall: Millis): Generator<StartGroup> {
     for (const { job } of orderJobs(this.#describeJobs(jobs), wall)) {
-      yield * listStartable(job, wall, (stepKey) => this.#policies.getAllowedWorkers(stepKey, this.#queues.get(job.queue), service), !isOnTrial(job, this.#registry))
+      yield * listStartable(job, wall, (stepKey) => this.#policies.getAllowedWorkers(stepKey, this.#findQueue(job), service), !isOnTrial(job, this.#registry))
     }
   }
 
   #describeJobs (jobs: readonly JobRecord[]): MeasuredJob[] {
     return jobs.map((job) => {
-      const queue = this.#queues.get(job.queue)
+      const queue = this.#findQueue(job)
       const estimateCorrection = this.#stats.getEstimateCorrection(job.queue)
       return {
         job,
@@ -295,13 +294,6 @@
     this.#registry.forget(keys)
     for (const key of keys) this.#stats.forget(key)
   }
-
-  #refreshQueues (): void {
-    const { config } = this.#context.state.data
-    if (config === this.#config) return
-    this.#config = config
-    this.#queues = new Map(config?.queues.map((queue) => [queueKey(queue), queue]) ?? [])
-  }
 }
 
 function * countEach<T> (items: Iterable<T>, onItem: () => void): Generator<T> {
--- a/src/batch/state/handlers.ts
+++ b/src/batch/state/handlers.ts
@@ -3,9 +3,13 @@
 import { judgeEnd } from '../judgeEnd/index.js'
 import { confirmCrashes, MAX_REMEMBERED_WORKERS, recordCrashEvidence } from './crashes.js'
 import { recordIncarnation, purgeIncarnations } from './incarnations.js'
+import { findQueue, retireQueues } from './queues/index.js'
 import { formatTask, parseTask, workerKey, type TaskPosition } from '../types.js'
 import type { ActiveRun, BatchCommandOf, BatchCommandType, BatchData, RunEnd, JobRecord, StepRecord, TaskRecord, MaintenanceState, WorkerRecord } from './records.js'
 
+/** Failures after which a task is given up whose queue had been removed before the state kept the settings of such queues. */
+const FALLBACK_MAX_ATTEMPTS = 4
+
 const MAINTENANCE_STATE_ORDER: readonly MaintenanceState[] = ['waiting', 'ordered', 'begun', 'done', 'gone']
 
 /** Receives the changes that indexes over the state depend on. */
@@ -28,6 +32,7 @@
 export const BATCH_HANDLERS: { readonly [K in BatchCommandType]: Handler<K> } = {
   configure: (data, { config }) => {
     if (data.config !== null && config.version <= data.config.version) return false
+    retireQueues(data, config)
     data.config = config
     return true
   },
@@ -177,7 +182,7 @@
   else if (end.outcome === 'failed') {
     task.failures += 1
     task.failedOn = [...task.failedOn, end.worker].slice(-MAX_REMEMBERED_WORKERS)
-    const limit = data.config?.queues.find((queue) => queueKey(queue) === job.queue)?.maxAttempts ?? 0
+    const limit = findQueue(data, job.queue)?.maxAttempts ?? FALLBACK_MAX_ATTEMPTS
     if (limit > 0 && task.failures >= limit) endJob(job, 'failed', at, observer)
   }
 }
@@ -209,12 +214,3 @@
   job.endedAt = at
   observer.onJobEnded(job)
 }
-
-/**
- * Returns the key of a queue: its host and prefix.
- *
- * @param queue - the queue
- */
-export function queueKey (queue: { readonly host: string, readonly prefix: string }): string {
-  return `${queue.host} ${queue.prefix}`
-}
--- a/src/batch/state/index.ts
+++ b/src/batch/state/index.ts
@@ -117,6 +117,7 @@
     // Snapshots of earlier builds lack these fields.
     this.#data.unconfirmedCrashes ??= new Map()
     this.#data.incarnations ??= new Map()
+    this.#data.retiredQueues ??= new Map()
     this.#activeJobs = new Map()
     this.#pendingCounts = new Map()
     this.#runsByWorker = new Map()
@@ -168,5 +169,5 @@
 const NO_RUNS: ReadonlyMap<string, ActiveRun> = new Map()
 
 function createBatchData (): BatchData {
-  return { now: 0, config: null, jobs: new Map(), workers: new Map(), waves: new Map(), unconfirmedCrashes: new Map(), incarnations: new Map() }
+  return { now: 0, config: null, retiredQueues: new Map(), jobs: new Map(), workers: new Map(), waves: new Map(), unconfirmedCrashes: new Map(), incarnations: new Map() }
 }
--- a/src/batch/state/records.ts
+++ b/src/batch/state/records.ts
@@ -1,7 +1,7 @@
 /** Records of the replicated state of jobs, workers and waves. */
 import type { Millis } from '../../clock/index.js'
 import type { CrashSuspicion } from '../judgeCrash/index.js'
-import type { JobSpec, QueueConfig, WorkerReport } from '../types.js'
+import type { JobSpec, Queue, QueueConfig, WorkerReport } from '../types.js'
 
 /** A run whose placement is committed and whose end is not; it may be running. */
 export interface ActiveRun {
@@ -40,7 +40,7 @@
 export interface JobRecord extends JobSpec {
   /** Key of the queue: host and prefix. */
   readonly queue: string
-  /** Service of the queue at acceptance, used when the queue is no longer configured. */
+  /** Service of the queue at acceptance, used when the settings of the queue are not known any more. */
   readonly service: string
   readonly acceptedAt: Millis
   state: 'active' | 'completed' | 'failed' | 'cancelled'
@@ -104,6 +104,8 @@
   /** Highest wall-clock time of the applied commands. */
   now: Millis
   config: QueueConfig | null
+  /** Queues that are no longer configured, as they were configured last, by key; see `retireQueues`. */
+  retiredQueues: Map<string, Queue>
   jobs: Map<string, JobRecord>
   workers: Map<string, WorkerRecord>
   waves: Map<number, MaintenanceWave>
