Leave runs whose ends are being committed out of the judgement of a crash

When a worker was lost in the round in which ends of its runs were committed, these runs still counted as fresh there: their orders were gone, which reads as a start by an earlier leader. A run that had ended, or had been refused, could be blamed for the crash (LOST), or kept the blame from the task that had caused it, since runs of two jobs seemed fresh (BUDGET).

`LostRuns.list` takes the ends that are about to be committed and leaves them out. The new test failed before.

--- a/src/batch/lostRuns/index.ts
+++ b/src/batch/lostRuns/index.ts
@@ -17,6 +17,8 @@
   readonly #registry: WorkerRegistry
   readonly #lostWorkers = new WeakMap<WorkerSession, SilentWorker>()
   readonly #suspicions = new WeakMap<WorkerSession, Suspicions>()
+  /** Runs whose ends are about to be committed. */
+  #reported: ReadonlySet<string> = new Set()
 
   /**
    * @param clock - source of time
@@ -29,8 +31,13 @@
     this.#registry = registry
   }
 
-  /** Lists the ends of all runs that can no longer be running because their worker is lost or was dismissed. */
-  list (): RunEnd[] {
+  /**
+   * Lists the ends of all runs that can no longer be running because their worker is lost or was dismissed.
+   *
+   * @param reported - ends that are about to be committed: these runs were not lost, and not the cause of a crash
+   */
+  list (reported: readonly RunEnd[] = []): RunEnd[] {
+    this.#reported = new Set(reported.map(formatRun))
     const ends: RunEnd[] = []
     for (const session of this.#registry.sessions) if (session.isLeaseExpired) ends.push(...this.#listOf(session))
     const orphaned = [...this.#state.workersWithRuns].filter((key) => this.#registry.sessionOf(key) === undefined)
@@ -47,7 +54,7 @@
   }
 
   #listOf (session: WorkerSession): RunEnd[] {
-    const lost = this.#registry.listLostRuns(session)
+    const lost = this.#registry.listLostRuns(session).filter(([task, run]) => !this.#isReported(session, task, run))
     if (lost.length === 0) return []
     const outcome = session.goneReason === null ? 'lapsed' : 'lost'
     const suspicions = this.#judge(session)
@@ -74,12 +81,16 @@
     const known = this.#lostWorkers.get(session)
     if (known !== undefined) return known
     const silentSince = session.contact.silentSince ?? this.#clock.now()
-    const freshTasks = [...this.#state.runsOn(session.key)].filter(([task, { run }]) => session.orders.isFresh(task, run, silentSince)).map(([task]) => task)
+    const freshTasks = [...this.#state.runsOn(session.key)].filter(([task, { run }]) => !this.#isReported(session, task, run) && session.orders.isFresh(task, run, silentSince)).map(([task]) => task)
     const described = { labels: session.record.labels, answeredAt: session.contact.answeredAt, silentSince, freshTasks, isTrial: this.#isTrial(freshTasks) }
     if (session.isLeaseExpired) this.#lostWorkers.set(session, described)
     return described
   }
 
+  #isReported ({ key }: WorkerSession, task: string, run: number): boolean {
+    return this.#reported.has(formatRun({ worker: key, task, run }))
+  }
+
   #isTrial (freshTasks: readonly string[]): boolean {
     const jobs = new Set(freshTasks.map((task) => parseTask(task)?.job))
     return jobs.size === 1 && freshTasks.some((task) => isSuspectTask(task, this.#state))
@@ -100,3 +111,7 @@
 function isEndPlanned ({ hasEndedAsPlanned, record, contact }: WorkerSession): boolean {
   return hasEndedAsPlanned || record.isDraining || contact.isAnswerRequired
 }
+
+function formatRun ({ worker, task, run }: Pick<RunEnd, 'worker' | 'task' | 'run'>): string {
+  return `${worker} ${task} ${run}`
+}
--- a/src/batch/lostRuns/test.ts
+++ b/src/batch/lostRuns/test.ts
@@ -90,6 +90,15 @@
     expect(lostRuns.list().map(({ task, evidence }) => ({ task, evidence }))).to.deep.equal([{ task: `${OTHER}.0.0.0`, evidence: 'sole' }])
   })
 
+  it('does not suspect a run whose end is about to be committed, nor doubts the others for it (LOST)', () => {
+    const { place, sessions, lostRuns } = createHarness(1)
+    place(TASK, 0)
+    place(`${OTHER}.0.0.0`, 0)
+    sessions[0]?.orders.delete(`${OTHER}.0.0.0`)
+    const done: RunEnd = { task: `${OTHER}.0.0.0`, run: 1, worker: 'w0@1', outcome: 'done', checkpoint: '' }
+    expect(lostRuns.list([done]).map(({ task, evidence }) => ({ task, evidence }))).to.deep.equal([{ task: TASK, evidence: 'sole' }])
+  })
+
   it('says whether the crash is confirmed, and lists workers that were only cut off once they answer again', () => {
     const { apply, place, sessions, lostRuns } = createHarness(2)
     place(TASK, 0)
--- a/src/batch/runEndRecorder/index.ts
+++ b/src/batch/runEndRecorder/index.ts
@@ -51,7 +51,7 @@
   async #commit (reported: readonly RunEnd[], isWorkerCheckDue: boolean): Promise<void> {
     const ends = [...reported]
     if (isWorkerCheckDue) {
-      ends.push(...this.#lostRuns.list())
+      ends.push(...this.#lostRuns.list(reported))
       const revived = this.#lostRuns.listRevived()
       if (revived.length > 0) await this.#context.propose('enrol', { workers: revived })
     }
