Check a placed start again when it is sent (DRAIN)

Cause: starts wait behind unanswered ones, two in flight, 0.7 s each. When its turn came a start was checked against its job and the worker's capacity, but not against the worker's draining: the decision was checked when it was made and not when it was carried out.

`StartAdmission` holds all that may change meanwhile and is asked at the sending: needed, not draining, not cordoned, responsive, not shrunk. Starts that wait are taken back at once when the worker reports a change or is cordoned, and are placed again. When one member of a gang is not started, for this or any other reason, the others are stopped instead of waiting for it.

--- a/src/batch/runEndRecorder/index.ts
+++ b/src/batch/runEndRecorder/index.ts
@@ -6,7 +6,7 @@
 import type { LostRuns } from '../lostRuns/index.js'
 import type { RunStats } from '../runStats/index.js'
 import type { JobRecord, RunEnd } from '../state/records.js'
-import { parseTask, type TaskPosition } from '../types.js'
+import { formatTask, parseTask, type TaskPosition } from '../types.js'
 
 /** A long-running task may fail at any time; one that fails later than this after its placement says nothing about its worker. */
 const MAX_STARTUP_MS: Millis = 2000
@@ -58,6 +58,22 @@
     if (ends.length === 0) return
     for (const end of ends) this.#observe(end)
     await this.#context.propose('end', { ends })
+    for (const end of ends) if (end.outcome === 'refused') this.#stopOtherMembers(end)
+  }
+
+  /** Stops the other members of a gang of which one was not started: they would wait for it in vain. */
+  #stopOtherMembers ({ task, run }: RunEnd): void {
+    const { log, state } = this.#context
+    const { job: id, occurrence, step, index } = parseTask(task) as TaskPosition
+    const job = state.data.jobs.get(id)
+    if (job?.steps[step]?.isGang !== true) return
+    job.occurrences.get(occurrence)?.[step]?.tasks.forEach(({ active }, other) => {
+      const member = formatTask({ job: id, occurrence, step, index: other })
+      for (const { worker } of active.filter((another) => other !== index && another.run === run)) {
+        log.info('run.stopping', { task: member, run, worker, reason: 'a member of its gang was not started' })
+        void this.#registry.sessionOf(worker)?.stop(member, run)
+      }
+    })
   }
 
   #observe (end: RunEnd): void {
--- a/src/maintenance/machineDrainer/index.ts
+++ b/src/maintenance/machineDrainer/index.ts
@@ -38,7 +38,6 @@
   readonly #context: TermContext
   readonly #registry: WorkerRegistry
   readonly #hasPendingPlacement: (worker: string) => boolean
-  readonly #drainingSince = new Map<string, Millis>()
 
   /**
    * @param context - shared dependencies of the term
@@ -62,12 +61,12 @@
 
   /** @param machine - machine to cordon from now on */
   begin (machine: string): void {
-    this.#drainingSince.set(machine, this.#context.clock.now())
+    this.#registry.cordons.begin(machine)
   }
 
   /** @param machine - machine to uncordon */
   end (machine: string): void {
-    this.#drainingSince.delete(machine)
+    this.#registry.cordons.end(machine)
   }
 
   /**
@@ -76,7 +75,7 @@
    * @param session - the worker
    */
   isCordoned (session: WorkerSession): boolean {
-    return this.#drainingSince.has(session.record.machine)
+    return this.#registry.cordons.has(session.record.machine)
   }
 
   /**
@@ -87,9 +86,9 @@
    * @returns whether the worker is drained
    */
   advance (session: WorkerSession): boolean {
-    const { clock, state, log } = this.#context
+    const { state, log } = this.#context
     const runs = state.runsOn(session.key)
-    const waitedMs = clock.now() - (this.#drainingSince.get(session.record.machine) ?? clock.now())
+    const waitedMs = this.#registry.cordons.cordonedForMs(session.record.machine)
     for (const [task, { run }] of runs) {
       const order = session.orders.get(task)
       if (order === undefined || order.isStopRequested) continue
--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -2,13 +2,14 @@
 import type { Clock, Millis } from '../../clock/index.js'
 import type { TermContext } from '../../batch/leader/context.js'
 import type { WorkerRecord } from '../../batch/state/records.js'
-import { isOvercommitted } from '../../batch/poolWorker/index.js'
 import { countRestarts, hasRestartedSince } from '../../batch/state/incarnations.js'
-import { parseTask, workerKey, type WorkerReport } from '../../batch/types.js'
+import { workerKey, type WorkerReport } from '../../batch/types.js'
 import { IMMEDIATE_POLLS_PER_CALLER, LEASE_MS, MAX_WORKER_LEASE_MS, RESTART_WINDOW_MS } from '../constants.js'
+import { Cordons } from '../cordons/index.js'
 import { computeIdlePollWait } from '../idlePollWait/index.js'
 import { isRunOver, startStatusOf } from '../isRunOver/index.js'
 import { PollGate } from '../pollGate/index.js'
+import { StartAdmission } from '../startAdmission/index.js'
 import { hasLessCapacity, isSameRecord, toRecord } from '../workerRecord/index.js'
 import { WorkerSession } from '../session/index.js'
 import type { WorkerSessionContext } from '../session/types.js'
@@ -33,6 +34,8 @@
 
 /** Handles the workers' reports, and opens and ends sessions. */
 export class WorkerRegistry {
+  /** Machines whose workers get no new tasks. */
+  readonly cordons: Cordons
   readonly #context: TermContext
   readonly #connector: WorkerConnector
   readonly #onChange: () => void
@@ -40,13 +43,12 @@
   readonly #sessions = new Map<string, WorkerSession>()
   readonly #sequences = new Map<string, number>()
   readonly #drainingUntil = new Map<string, Millis>()
-  /** Keys of workers whose capacity has shrunk while this leader knew them. */
-  readonly #shrunkWorkers = new Set<string>()
   /** Number of reports of each worker that are being committed. */
   readonly #pendingReports = new Map<string, number>()
   /** Runs that are being revoked at the next incarnation, by worker, task and run. */
   readonly #revoking = new Set<string>()
   readonly #pollGate: PollGate
+  readonly #admission: StartAdmission
   /** Sessions with run ends to commit. */
   #sessionsWithEnds = new Set<WorkerSession>()
   #hasNewlyGone = false
@@ -61,6 +63,8 @@
     this.#clock = context.clock
     this.#connector = connector
     this.#onChange = onChange
+    this.cordons = new Cordons(context.clock, (machine) => { for (const session of this.sessionsOn(machine)) session.takeBackStarts() })
+    this.#admission = new StartAdmission(context.state, this.cordons)
     this.#pollGate = new PollGate(() => IMMEDIATE_POLLS_PER_CALLER * connector.countCallers())
     const records = [...context.state.data.workers]
     const isBusy = ([key]: readonly [string, WorkerRecord]): boolean => context.state.runsOn(key).size > 0
@@ -155,13 +159,13 @@
       if (!this.#sessions.has(key)) this.#openSession(known)
       return 'recorded'
     }
-    if (known !== undefined && hasLessCapacity(record, known)) this.#shrunkWorkers.add(key)
+    if (known !== undefined && hasLessCapacity(record, known)) this.#admission.recordShrunk(key)
     await this.#commit(key, record)
     this.#context.log.info(known === undefined ? 'worker.enrolled' : 'worker.changed', { worker: key, service: record.service, address: record.address, machine: record.machine, isDraining: record.isDraining })
     this.#endEarlierIncarnations(record)
     const session = this.#sessions.get(key)
     if (session === undefined) this.#openSession(record)
-    else if (session.record.address === record.address) session.record = record
+    else if (session.record.address === record.address) session.updateRecord(record)
     else this.#reopenSession(session, record)
     this.#onChange()
     return 'recorded'
@@ -178,12 +182,6 @@
     }
   }
 
-  /** Members of a gang are started although the worker has shrunk: the others would wait for them in vain. */
-  #isGangMember (task: string): boolean {
-    const position = parseTask(task)
-    return position !== null && this.#context.state.data.jobs.get(position.job)?.steps[position.step]?.isGang === true
-  }
-
   /**
    * Marks the draining incarnations of a worker that has left as gone, after a short grace time, if they no longer answer. Others
    * must answer again: the deregistration may be that of an earlier incarnation, or of one that goes on because it has not been answered.
@@ -287,7 +285,7 @@
       this.#sessions.get(key)?.end()
       this.#sessions.delete(key)
       this.#drainingUntil.delete(key)
-      this.#shrunkWorkers.delete(key)
+      this.#admission.forget(key)
     }
   }
 
@@ -319,8 +317,7 @@
       inheritedLeaseMs: hasRestartedSince(state.data, record, clock.wall() - RESTART_WINDOW_MS) ? MAX_WORKER_LEASE_MS : LEASE_MS,
       mayOrder,
       runsOn: (worker) => state.runsOn(worker),
-      isRunNeeded: (task, run) => state.isRunNeeded(task, run),
-      hasCapacityFor: (task) => !this.#shrunkWorkers.has(key) || this.#isGangMember(task) || !isOvercommitted(session, state),
+      findObstacle: (task, run) => this.#admission.findObstacle(session, task, run),
       earlierIncarnationWith: (task, run) => this.#findEarlierIncarnation(record, task, run),
       onChange: this.#onChange,
       onRunEnd: () => { this.#sessionsWithEnds.add(session) },
--- a/src/workers/runControl/index.ts
+++ b/src/workers/runControl/index.ts
@@ -1,18 +1,23 @@
-/** Sends the leader's orders for runs that were placed on one worker before: stops and paces. */
+/** Sends the leader's orders for the runs on one worker: starts, stops and paces. */
+import type { Millis } from '../../clock/index.js'
 import { ORDER_TIMEOUT_MS } from '../constants.js'
-import type { RunOrders } from '../runOrder/index.js'
-import type { WorkerSessionContext } from '../session/types.js'
-import type { OrderAnswer, WorkerCalls } from '../types.js'
+import type { RunOrder, RunOrders } from '../runOrder/index.js'
+import type { StartOrder, WorkerSessionContext } from '../session/types.js'
+import type { OrderAnswer, OrderRefusal, WorkerCalls } from '../types.js'
 
 /** Receives what the answers to the orders tell about the worker. */
 export interface OrderListener {
   readonly onAnswer: (answer: OrderAnswer) => void
+  /** Called when the worker has refused a start and will not carry it out. */
+  readonly onStartRefused: (task: string, run: number) => void
   /** Called when another worker answers at the address. */
   readonly onWrongWorker: () => void
 }
 
-/** Stops and paces the runs on one incarnation of a worker. */
+/** Starts, stops and paces the runs on one incarnation of a worker. */
 export class RunControl {
+  /** Starts that the worker refused in a row because it is overloaded or failing. */
+  consecutiveRefusals = 0
   readonly #worker: string
   readonly #orders: RunOrders
   readonly #calls: WorkerCalls
@@ -34,6 +39,46 @@
     this.#listener = listener
   }
 
+  /**
+   * Sends a start.
+   *
+   * @param startOrder - the start
+   * @param order - the leader's record of the run, which receives the outcome
+   * @param grantLease - records a lease that begins at a reading of the leader's clock; returns when it expires, on the worker's clock
+   */
+  async start (startOrder: StartOrder, order: RunOrder, grantLease: (now: Millis) => Millis): Promise<void> {
+    const { clock, token } = this.#context
+    const { isTrial: _, ...runStart } = startOrder
+    order.sentAt = clock.now()
+    try {
+      const answer = await this.#calls.start({ ...runStart, token, leaseEndMs: grantLease(order.sentAt) }, ORDER_TIMEOUT_MS)
+      order.settledAt = clock.now()
+      this.#listener.onAnswer(answer)
+      if (answer.refusal === null) {
+        order.phase = 'started'
+        order.startedAt = order.settledAt
+        order.runningSinceMs ??= answer.clockMs
+        this.consecutiveRefusals = 0
+      } else this.#onStartRefused(startOrder, order, answer.refusal)
+    } catch (err) {
+      order.phase = 'unclear'
+      order.settledAt = clock.now()
+      this.#context.log.info('start.unclear', { task: startOrder.task, run: startOrder.run, worker: this.#worker, reason: (err as Error).message })
+    }
+  }
+
+  #onStartRefused ({ task, run }: StartOrder, order: RunOrder, refusal: OrderRefusal): void {
+    this.#context.log.info('start.refused', { task, run, worker: this.#worker, reason: refusal })
+    if (refusal === 'stale') {
+      // The run may have begun and ended on an earlier delivery of the start. The lists of the worker tell.
+      order.phase = 'unclear'
+      return
+    }
+    if (refusal === 'unhealthy') this.consecutiveRefusals += 1
+    this.#listener.onStartRefused(task, run)
+    if (refusal === 'wrongWorker') this.#listener.onWrongWorker()
+  }
+
   /**
    * Sends a stop; the end of the run arrives with a later poll.
    *
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -7,14 +7,14 @@
 import { WorkerContact } from '../contact/index.js'
 import { LeaseClock } from '../leaseClock/index.js'
 import type { WorkerSessionContext, StartOrder } from './types.js'
-import type { OrderAnswer, OrderRefusal, WorkerCalls } from '../types.js'
+import type { OrderAnswer, WorkerCalls } from '../types.js'
 import { WorkerPoller, type ListedRuns } from '../poller/index.js'
 import { RunEndQueue, type CollectedRunEnds } from '../runEndQueue/index.js'
 import { createRunOrder, RunOrders, type RunOrder } from '../runOrder/index.js'
 import { RunControl } from '../runControl/index.js'
 import type { LeaveGate } from '../pollGate/index.js'
 import { StartQueue } from '../startQueue/index.js'
-import { MAX_COMMIT_WAIT_MS, LEASE_MS, LEADER_LEASE_CHECK_MS, POLL_WAIT_MS, MAX_CONCURRENT_STARTS, ORDER_TIMEOUT_MS, START_LEASE_MS, SURVIVAL_MS, SURVIVAL_PROBE_DELAYS_MS } from '../constants.js'
+import { MAX_COMMIT_WAIT_MS, LEASE_MS, LEADER_LEASE_CHECK_MS, POLL_WAIT_MS, MAX_CONCURRENT_STARTS, START_LEASE_MS, SURVIVAL_MS, SURVIVAL_PROBE_DELAYS_MS } from '../constants.js'
 
 const WRONG_WORKER = 'another worker answers at its address'
 
@@ -26,9 +26,6 @@
   isReincarnated = false
   /** Why the worker is known to be gone, or null. */
   goneReason: string | null = null
-  /** Starts that the worker refused in a row because it is overloaded or failing. */
-  consecutiveRefusals = 0
-  record: WorkerRecord
   /** Whether the incarnation ended as planned: it left, was draining, or an order to the platform has ended it. */
   hasEndedAsPlanned = false
   /** Whether the worker answers its long polls. */
@@ -44,6 +41,7 @@
   #isEnded = false
   #goneAt: Millis = Number.POSITIVE_INFINITY
   readonly #runEnds = new RunEndQueue()
+  #record: WorkerRecord
 
   /**
    * @param key - key of the worker's incarnation
@@ -52,15 +50,30 @@
    * @param context - dependencies of the session
    */
   constructor (readonly key: string, record: WorkerRecord, calls: WorkerCalls, context: WorkerSessionContext) {
-    this.record = record
+    this.#record = record
     this.#calls = calls
     this.#context = context
     this.contact = new WorkerContact(context.clock)
     this.#poller = new WorkerPoller(calls, context, record.born)
     this.#lease = new LeaseClock(context.inheritedLeaseMs, context.clock.now())
     this.#wakeNotifier = new Notifier(context.clock)
-    this.#control = new RunControl(key, this.orders, calls, context, { onAnswer: (answer) => { this.#observeClock(answer) }, onWrongWorker: () => { this.markGone(WRONG_WORKER) } })
-    this.#startQueue = new StartQueue(MAX_CONCURRENT_STARTS, (task, run) => context.isRunNeeded(task, run) && this.orders.get(task)?.isStopRequested !== true && context.hasCapacityFor(task))
+    this.#control = new RunControl(key, this.orders, calls, context, {
+      onAnswer: (answer) => { this.#observeClock(answer) },
+      onStartRefused: (task, run) => { this.#recordEnd(task, run, 'refused', '') },
+      onWrongWorker: () => { this.markGone(WRONG_WORKER) }
+    })
+    this.#startQueue = new StartQueue(MAX_CONCURRENT_STARTS, (task, run) => this.#mayStart(task, run))
+  }
+
+  /** The worker's own description. */
+  get record (): WorkerRecord {
+    return this.#record
+  }
+
+  /** @param record - a newer description of the same incarnation */
+  updateRecord (record: WorkerRecord): void {
+    this.#record = record
+    this.takeBackStarts()
   }
 
   /** Whether the worker has answered recently, so that it may be given work. */
@@ -73,6 +86,11 @@
     return this.goneReason !== null || (!this.isLive && this.#context.clock.now() > this.#lease.expiresAt)
   }
 
+  /** Starts that the worker refused in a row because it is overloaded or failing. */
+  get consecutiveRefusals (): number {
+    return this.#control.consecutiveRefusals
+  }
+
   /** Time since the worker became known to be gone, in milliseconds. */
   get goneForMs (): Millis {
     return this.#context.clock.now() - this.#goneAt
@@ -188,6 +206,17 @@
     if (!isSent) this.#recordEnd(task, run, 'refused', '')
   }
 
+  /** Takes back the starts that wait and must not be sent any more, so that they are placed again at once. */
+  takeBackStarts (): void {
+    this.#startQueue.takeBack()
+  }
+
+  #mayStart (task: string, run: number): boolean {
+    const reason = this.orders.get(task)?.isStopRequested === true ? 'stopRequested' : this.#context.findObstacle(task, run)
+    if (reason !== null) this.#context.log.info('start.takenBack', { task, run, worker: this.key, reason })
+    return reason === null
+  }
+
   /**
    * Waits until the starts of a job that are in flight to this worker have been answered or have timed out.
    *
@@ -198,42 +227,13 @@
   }
 
   async #sendStart (startOrder: StartOrder, order: RunOrder): Promise<void> {
-    const { clock, token } = this.#context
-    const { task, run } = startOrder
+    const { task, run, isTrial } = startOrder
     if (!this.#lease.isKnown || !this.#context.mayOrder()) {
       this.#recordEnd(task, run, 'refused', '')
       return
     }
-    const { isTrial, ...runStart } = startOrder
-    order.sentAt = clock.now()
     if (isTrial) for (const delayMs of SURVIVAL_PROBE_DELAYS_MS) void this.#probeSurvival(task, order, delayMs)
-    try {
-      const answer = await this.#calls.start({ ...runStart, token, leaseEndMs: this.#lease.grant(clock.now(), START_LEASE_MS) }, ORDER_TIMEOUT_MS)
-      order.settledAt = clock.now()
-      this.#observeClock(answer)
-      if (answer.refusal === null) {
-        order.phase = 'started'
-        order.startedAt = order.settledAt
-        order.runningSinceMs ??= answer.clockMs
-        this.consecutiveRefusals = 0
-      } else this.#onStartRefused(startOrder, order, answer.refusal)
-    } catch (err) {
-      order.phase = 'unclear'
-      order.settledAt = clock.now()
-      this.#context.log.info('start.unclear', { task, run, worker: this.key, reason: (err as Error).message })
-    }
-  }
-
-  #onStartRefused ({ task, run }: StartOrder, order: RunOrder, refusal: OrderRefusal): void {
-    this.#context.log.info('start.refused', { task, run, worker: this.key, reason: refusal })
-    if (refusal === 'stale') {
-      // The run may have begun and ended on an earlier delivery of the start. The lists of the worker tell.
-      order.phase = 'unclear'
-      return
-    }
-    if (refusal === 'unhealthy') this.consecutiveRefusals += 1
-    this.#recordEnd(task, run, 'refused', '')
-    if (refusal === 'wrongWorker') this.markGone(WRONG_WORKER)
+    await this.#control.start(startOrder, order, (now) => this.#lease.grant(now, START_LEASE_MS))
   }
 
   /**
@@ -243,7 +243,9 @@
    * @param run - number of the run
    */
   stop (task: string, run: number): Promise<void> {
-    return this.#control.stop(task, run)
+    const stopped = this.#control.stop(task, run)
+    this.takeBackStarts()
+    return stopped
   }
 
   /**
--- a/src/workers/session/types.ts
+++ b/src/workers/session/types.ts
@@ -3,6 +3,7 @@
 import type { EventLog } from '../../logs/eventLog/index.js'
 import type { Metrics } from '../../metrics/index.js'
 import type { PollGate } from '../pollGate/index.js'
+import type { StartObstacle } from '../startAdmission/index.js'
 
 /** Dependencies of {@link WorkerSession}. */
 export interface WorkerSessionContext {
@@ -17,10 +18,8 @@
   readonly mayOrder: () => boolean
   /** Returns the runs that the replicated state has on a worker, by task. */
   readonly runsOn: (worker: string) => ReadonlyMap<string, { readonly run: number }>
-  /** Whether a placed run still has to be started: its job may have been cancelled, or its end recorded. */
-  readonly isRunNeeded: (task: string, run: number) => boolean
-  /** Whether a placed run still fits on the worker, whose capacity may have shrunk since the placement. */
-  readonly hasCapacityFor: (task: string) => boolean
+  /** Returns why the start of a placed run must not be sent any more, or null when it may. */
+  readonly findObstacle: (task: string, run: number) => StartObstacle | null
   /** Returns the earlier incarnation that a run was placed on, or null: its start may have reached this incarnation. */
   readonly earlierIncarnationWith: (task: string, run: number) => string | null
   /** Called when there may be something to commit or to plan. */
--- a/src/workers/startQueue/index.ts
+++ b/src/workers/startQueue/index.ts
@@ -1,28 +1,28 @@
-/** Limits the starts in flight to one worker, and drops those whose job was cancelled while they waited. */
+/** Limits the starts in flight to one worker, and takes back those that must not be sent any more. */
 
-/** Decides whether a placed run still has to be started. */
-export type IsRunNeeded = (task: string, run: number) => boolean
+/** Decides whether a placed run may still be started. */
+export type MayStart = (task: string, run: number) => boolean
 
 interface WaitingStart {
   readonly task: string
   readonly run: number
-  readonly begin: (isNeeded: boolean) => void
+  readonly begin: (maySend: boolean) => void
 }
 
 /** Sends the starts for one worker in the order of their placement. */
 export class StartQueue {
   readonly #maxConcurrent: number
-  readonly #isNeeded: IsRunNeeded
-  readonly #waiting: WaitingStart[] = []
+  readonly #mayStart: MayStart
+  #waiting: WaitingStart[] = []
   readonly #inFlight = new Map<string, Promise<void>>()
 
   /**
    * @param maxConcurrent - maximum number of starts in flight
-   * @param isNeeded - called when a start's turn comes
+   * @param mayStart - called when a start's turn comes, and by {@link takeBack}
    */
-  constructor (maxConcurrent: number, isNeeded: IsRunNeeded) {
+  constructor (maxConcurrent: number, mayStart: MayStart) {
     this.#maxConcurrent = maxConcurrent
-    this.#isNeeded = isNeeded
+    this.#mayStart = mayStart
   }
 
   /**
@@ -31,14 +31,14 @@
    * @param task - name of the task
    * @param run - number of the run
    * @param send - sends the start and waits for its answer; must not reject
-   * @returns false when the run was no longer needed, so that nothing was sent
+   * @returns false when the start was taken back, so that nothing was sent
    */
   async run (task: string, run: number, send: () => Promise<void>): Promise<boolean> {
-    const isNeeded = await new Promise<boolean>((resolve) => {
+    const maySend = await new Promise<boolean>((resolve) => {
       this.#waiting.push({ task, run, begin: resolve })
       this.#beginNext()
     })
-    if (!isNeeded) return false
+    if (!maySend) return false
     const sending = send()
     this.#inFlight.set(task, sending)
     await sending
@@ -47,6 +47,16 @@
     return true
   }
 
+  /** Takes back the waiting starts that must not be sent any more, without waiting for their turn. */
+  takeBack (): void {
+    const waiting = this.#waiting
+    this.#waiting = []
+    for (const start of waiting) {
+      if (this.#mayStart(start.task, start.run)) this.#waiting.push(start)
+      else start.begin(false)
+    }
+  }
+
   /**
    * Waits until the starts of a job that are in flight have been answered or have timed out.
    *
@@ -59,10 +69,10 @@
   #beginNext (): void {
     while (this.#waiting.length > 0 && this.#inFlight.size < this.#maxConcurrent) {
       const { task, run, begin } = this.#waiting.shift() as WaitingStart
-      const isNeeded = this.#isNeeded(task, run)
+      const maySend = this.#mayStart(task, run)
       // Occupy the slot now: `begin` resumes the caller only in a later microtask.
-      if (isNeeded) this.#inFlight.set(task, Promise.resolve())
-      begin(isNeeded)
+      if (maySend) this.#inFlight.set(task, Promise.resolve())
+      begin(maySend)
     }
   }
 }
--- a/src/workers/startQueue/test.ts
+++ b/src/workers/startQueue/test.ts
@@ -49,6 +49,19 @@
     expect(worker.sent).to.deep.equal(['a', 'c'])
   })
 
+  it('takes back the starts that must not be sent any more without waiting for their turn', async () => {
+    const worker = new ManualWorker()
+    const cancelled = new Set<string>()
+    const queue = new StartQueue(1, (task) => !cancelled.has(task))
+    const results = ['a', 'b', 'c'].map((task) => queue.run(task, 1, worker.send(task)))
+    await flushPending()
+    cancelled.add('b')
+    queue.takeBack()
+    expect(await results[1]).to.equal(false)
+    await worker.answer('a')
+    expect(worker.sent).to.deep.equal(['a', 'c'])
+  })
+
   it('waits for the starts in flight of one job only', async () => {
     const worker = new ManualWorker()
     const queue = new StartQueue(3, () => true)
