Bound the lease that a restarted worker may hold, and keep lasting tasks off it (LOST)

Cause: a worker that restarts under its id may hold the longest lease, granted by a late call to its earlier incarnation. It was assumed at 12 s whatever the platform allows, and by each new leader anew for 24 s after the restart. A task on such a worker that is lost waits that long; a lasting one may be away for 9 s.

- The longest lease is a setting (`maxWorkerLeaseMs`, the platform's holdMaxMs; 12 s if it is left out).
- The state remembers when the first run was placed on an incarnation.
It had been called with its own token by then and refuses late calls since, so that a new leader expects only the rest of such a lease.
- Lasting tasks start on a worker whose lease could outlast 8 s only if they fit on no other.

The test "waits for the longest lease when the worker has just restarted" placed its run at time 0 and now places it when the worker has restarted.

Evidence: the test of planStarts fails without the cost, the tests of computeInheritedLease are of new code.

--- a/src/batch/fuzz/simFleet.ts
+++ b/src/batch/fuzz/simFleet.ts
@@ -32,7 +32,7 @@
 const TICK_MS: Millis = 20
 
 /** Longest lease that a worker grants. */
-const MAX_LEASE_MS: Millis = 6000
+export const MAX_LEASE_MS: Millis = 6000
 
 /** Start-up time of a long-running task. */
 const LONG_RUNNING_START_MS: Millis = 200
--- a/src/batch/fuzz/simulation.ts
+++ b/src/batch/fuzz/simulation.ts
@@ -17,7 +17,7 @@
 import { EndOracle, type Violation } from './endOracle.js'
 import { Random } from './random.js'
 import { AddressCalls } from './simCalls.js'
-import { createStepLookup, SimWorker, type SimWorld } from './simFleet.js'
+import { createStepLookup, MAX_LEASE_MS, SimWorker, type SimWorld } from './simFleet.js'
 import { SimGangs } from './simGang.js'
 import { SimRelays } from './simRelays.js'
 import { NO_FAULTS, PLAIN_VARIANT, type MillisRange, type SimVariant } from './simVariant.js'
@@ -113,7 +113,7 @@
     this.#relays.announceTerm(term)
     const router = new RelayRouter(this.clock, log, () => this.#relays.listMembers(term))
     const deps = { links: this.#relays.links, router, connect: (worker: WorkerAddress) => this.#connect(worker), mayOrder: context.mayOrder, metrics: context.metrics, term }
-    const registry = new WorkerRegistry(context, { connect: (record) => new RelayedWorkerCalls(workerKey(record), record, deps), countCallers: () => router.countCallers() }, () => { workNotifier.notify() })
+    const registry = new WorkerRegistry(context, { connect: (record) => new RelayedWorkerCalls(workerKey(record), record, deps), countCallers: () => router.countCallers(), maxLeaseMs: MAX_LEASE_MS }, () => { workNotifier.notify() })
     const scheduler = new BatchScheduler(context, registry, new RunStats(), { isCordoned: () => false, getAllowedWorkers: () => null, getTicket: () => null }, workNotifier)
     this.#termEnd = end
     this.#registry = registry
--- a/src/batch/leader/index.ts
+++ b/src/batch/leader/index.ts
@@ -48,6 +48,8 @@
   /** Orders for machines that the platform accepts each second. */
   readonly machineOrdersPerSecond: number
   readonly advisor: AdvisorCalls | null
+  /** Longest lease that workers allow, in milliseconds. */
+  readonly maxWorkerLeaseMs: number
   /** How long ended jobs stay visible to submitters, in milliseconds. */
   readonly retentionMs: number
 }
@@ -80,7 +82,8 @@
     const relayedCallsDeps = { links: deps.links, router, connect: deps.connect, mayOrder: () => this.mayOrder(), metrics, term: this.term }
     this.#registry = new WorkerRegistry(context, {
       connect: (worker) => new RelayedWorkerCalls(workerKey(worker), worker, relayedCallsDeps),
-      countCallers: () => router.countCallers()
+      countCallers: () => router.countCallers(),
+      maxLeaseMs: deps.maxWorkerLeaseMs
     }, onWork)
     this.#advisor = deps.advisor === null ? null : new Advisor(deps.advisor, clock, log, onWork)
     const drainer = new MachineDrainer(context, this.#registry, (worker) => this.#scheduler.hasPendingPlacementOn(worker))
--- a/src/batch/planStarts/index.ts
+++ b/src/batch/planStarts/index.ts
@@ -27,6 +27,8 @@
   freshRuns: number
   /** Job whose suspected tasks start here, to the exclusion of everything else; null for none. */
   trialJob: string | null
+  /** Whether its tasks would wait for long to start elsewhere if it were lost, which long-running tasks must not. */
+  readonly hasLongLease: boolean
 }
 
 /** A task that may start. */
@@ -60,6 +62,7 @@
 const FAILED_BEFORE_COST = 1000
 const REMOTE_RACK_COST = 20
 const SAME_STEP_COST = 5
+const LONG_LEASE_COST = 100
 const SLOWDOWN_COST = 4
 
 /** Maximum number of workers reserved for tasks that fit on none. */
@@ -187,7 +190,7 @@
   // The worker that loses least if it crashes.
   if (suspectJob !== null) return cost - freeShare
   // Long-running tasks are spread over two workers, so that half of a step survives the loss of one; others are packed.
-  if (step.isLasting) return cost + Math.max(0, (worker.taskCountByStep.get(stepKey) ?? 0) + 1 - Math.ceil(step.count / 2)) * SAME_STEP_COST + freeShare
+  if (step.isLasting) return cost + (worker.hasLongLease ? LONG_LEASE_COST : 0) + Math.max(0, (worker.taskCountByStep.get(stepKey) ?? 0) + 1 - Math.ceil(step.count / 2)) * SAME_STEP_COST + freeShare
   return cost + freeShare
 }
 
--- a/src/batch/planStarts/test.ts
+++ b/src/batch/planStarts/test.ts
@@ -6,7 +6,7 @@
 
 function createPoolWorker (key: string, changes: Partial<PoolWorker> = {}): PoolWorker {
   const room = { cpu: 4000, memory: 8000, accelerators: 0 }
-  return { key, machine: `m-${key}`, zone: 'a', labels: ['a', 'r1'], room, free: { ...room }, taskCountByStep: new Map(), startsLeft: Number.POSITIVE_INFINITY, slowdown: 1, freshRuns: 0, trialJob: null, ...changes }
+  return { key, machine: `m-${key}`, zone: 'a', labels: ['a', 'r1'], room, free: { ...room }, taskCountByStep: new Map(), startsLeft: Number.POSITIVE_INFINITY, slowdown: 1, freshRuns: 0, trialJob: null, hasLongLease: false, ...changes }
 }
 
 function createGroup (task: string, step: Partial<Step> = {}, failedOn: readonly string[] = []): StartGroup {
@@ -113,6 +113,12 @@
     expect(planStarts(workers, [{ members, mayReserve: false }, createGroup('t#1', { cpu: 1 })])).to.have.length(4)
   })
 
+  it('starts a long-running task on a worker whose loss would hold it up only when it fits on no other (LOST, tasks of a lost worker waited 12 s)', () => {
+    const workers = [createPoolWorker('w', { hasLongLease: true, free: { cpu: 1000, memory: 8000, accelerators: 0 } }), createPoolWorker('x')]
+    const groups = [1, 2, 3, 4, 5].map((i) => createGroup(`s#${i}`, { isLasting: true }))
+    expect(planStarts(workers, groups).map(({ worker }) => worker)).to.deep.equal(['x', 'x', 'x', 'x', 'w'])
+  })
+
   it('uses only workers that the advisor allows', () => {
     const group: StartGroup = { mayReserve: true, members: [{ task: 's', stepKey: 's', step: createStep(), failedOn: [], allowed: new Set(['x']), suspectJob: null }] }
     expect(planStarts([createPoolWorker('w'), createPoolWorker('x')], [group])).to.deep.equal([{ task: 's', worker: 'x' }])
--- a/src/batch/poolWorker/index.ts
+++ b/src/batch/poolWorker/index.ts
@@ -1,4 +1,5 @@
 /** Describes a worker for the planner: its capacity minus what its runs use. */
+import { LONG_LEASE_MS } from '../../workers/constants.js'
 import type { WorkerSession } from '../../workers/session/index.js'
 import type { PoolWorker } from '../planStarts/index.js'
 import type { BatchState } from '../state/index.js'
@@ -29,7 +30,7 @@
  */
 export function createPoolWorker (session: WorkerSession, state: BatchState, { startsLeft, slowdown }: WorkerHealth = HEALTHY_WORKER, { freshRuns }: WorkerTrialState = NO_TRIALS): PoolWorker {
   const { record, key } = session
-  const worker: PoolWorker = { key, machine: record.machine === '' ? record.id : record.machine, zone: record.zone, labels: record.labels, room: record.room, free: { ...record.room }, taskCountByStep: new Map(), startsLeft, slowdown, freshRuns, trialJob: null }
+  const worker: PoolWorker = { key, machine: record.machine === '' ? record.id : record.machine, zone: record.zone, labels: record.labels, room: record.room, free: { ...record.room }, taskCountByStep: new Map(), startsLeft, slowdown, freshRuns, trialJob: null, hasLongLease: session.leaseLeftMs > LONG_LEASE_MS }
   for (const task of state.runsOn(key).keys()) deductTask(worker, task, state)
   // A start that an earlier incarnation left unanswered may reach this one.
   for (const [earlier, { born }] of state.workerIndex.withId(record.id)) {
--- a/src/batch/runEndRecorder/test.ts
+++ b/src/batch/runEndRecorder/test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import { ManualClock } from '../../clock/index.js'
+import { MAX_WORKER_LEASE_MS } from '../../workers/constants.js'
 import { WorkerRegistry } from '../../workers/registry/index.js'
 import type { WorkerCalls, WorkerPollRequest } from '../../workers/types.js'
 import { createStep } from '../fixtures/index.js'
@@ -50,7 +51,7 @@
       return harness.apply(type, input as never)
     }
   })
-  const registry = new WorkerRegistry(context, { connect, countCallers: () => 1 }, () => {})
+  const registry = new WorkerRegistry(context, { connect, countCallers: () => 1, maxLeaseMs: MAX_WORKER_LEASE_MS }, () => {})
   const recorder = new RunEndRecorder(context, registry, new LostRuns(clock, harness.state, registry), stats)
   return { clock, stats, harness, registry, recorder, acknowledged, failing }
 }
--- a/src/batch/scheduler/queuedStarts/test.ts
+++ b/src/batch/scheduler/queuedStarts/test.ts
@@ -36,7 +36,7 @@
     ['may be gone', ({ registry, id, worker }) => {
       worker.isSilent = true
       registry.sessionOf(`${id}@1`)?.contact.requireNewAnswer()
-      registry.sessionOf(`${id}@1`)?.takeBackStarts()
+      registry.sessionOf(`${id}@1`)?.starts.takeBack()
     }]
   ]
   for (const [condition, change] of obstacles) {
--- a/src/batch/state/handlers.ts
+++ b/src/batch/state/handlers.ts
@@ -2,7 +2,7 @@
 import type { Millis } from '../../clock/index.js'
 import { judgeEnd } from '../judgeEnd/index.js'
 import { confirmCrashes, MAX_REMEMBERED_WORKERS, recordCrashEvidence } from './crashes.js'
-import { recordIncarnation, purgeIncarnations } from './incarnations.js'
+import { recordIncarnation, recordPlacement, purgeIncarnations } from './incarnations.js'
 import { findQueue, retireQueues } from './queues/index.js'
 import { formatTask, parseTask, workerKey, type TaskPosition } from '../types.js'
 import type { ActiveRun, BatchCommandOf, BatchCommandType, BatchData, RunEnd, JobRecord, StepRecord, TaskRecord, MaintenanceState, WorkerRecord } from './records.js'
@@ -59,13 +59,15 @@
   place: (data, { placements, at }, observer) => placements.map(({ task, run, worker }) => {
     const position = parseTask(task)
     const job = position === null ? undefined : data.jobs.get(position.job)
-    if (position === null || job === undefined || job.state !== 'active' || !data.workers.has(worker)) return false
+    const workerRecord = data.workers.get(worker)
+    if (position === null || job === undefined || job.state !== 'active' || workerRecord === undefined) return false
     const record = ensureOccurrence(job, position.occurrence)[position.step]?.tasks[position.index]
     if (record === undefined || record.isDone || run <= record.lastRun) return false
     const active: ActiveRun = { run, worker, placedAt: at }
     record.active.push(active)
     record.lastRun = run
     observer.onRunAdded(worker, task, active)
+    recordPlacement(data, workerRecord, at)
     if (!job.hasStarted) {
       job.hasStarted = true
       observer.onJobStarted(job)
--- a/src/batch/state/incarnations.ts
+++ b/src/batch/state/incarnations.ts
@@ -17,6 +17,18 @@
   else data.incarnations.set(id, { born, restarts: latest.restarts + 1, since: at, seenAt: at })
 }
 
+/**
+ * Records that a run is placed on an incarnation.
+ *
+ * @param data - replicated state
+ * @param worker - the incarnation
+ * @param at - time of the command
+ */
+export function recordPlacement (data: BatchData, { id, born }: WorkerRecord, at: Millis): void {
+  const latest = data.incarnations.get(id)
+  if (latest?.born === born && latest.placedAt === undefined) data.incarnations.set(id, { ...latest, placedAt: at })
+}
+
 /** A worker that has restarted and is cut off for less than this refuses no leader for a token that is too low. */
 const RESTARTS_RETENTION_MS = 24 * 3600 * 1000
 
@@ -35,17 +47,6 @@
   }
 }
 
-/**
- * Returns whether a worker has restarted under its id so recently that calls to its earlier incarnation may still reach it.
- *
- * @param data - replicated state
- * @param incarnation - id and start time of the incarnation
- * @param after - time in milliseconds after which a restart is recent
- */
-export function hasRestartedSince (data: BatchData, incarnation: { readonly id: string, readonly born: number }, after: Millis): boolean {
-  return countRestarts(data, incarnation) > 0 && (data.incarnations.get(incarnation.id)?.since ?? 0) > after
-}
-
 /**
  * Returns how often a worker is known to have restarted under its id before an incarnation.
  *
--- a/src/batch/state/records.ts
+++ b/src/batch/state/records.ts
@@ -97,6 +97,8 @@
   readonly since: Millis
   /** When it was last recorded, or dismissed since. */
   readonly seenAt: Millis
+  /** When the first run was placed on it; undefined before, and in snapshots of earlier builds. */
+  readonly placedAt?: Millis
 }
 
 /** All data of the replicated state. */
--- a/src/maintenance/runner/test.ts
+++ b/src/maintenance/runner/test.ts
@@ -12,6 +12,7 @@
 import { Notifier } from '../../clock/notifier/index.js'
 import { EventLog } from '../../logs/eventLog/index.js'
 import { Metrics } from '../../metrics/index.js'
+import { MAX_WORKER_LEASE_MS } from '../../workers/constants.js'
 import { WorkerRegistry } from '../../workers/registry/index.js'
 import type { WorkerSession } from '../../workers/session/index.js'
 import { MachineDrainer } from '../machineDrainer/index.js'
@@ -64,7 +65,7 @@
       }
     }
     const work = new Notifier(this.clock)
-    this.#registry = new WorkerRegistry(context, { connect: (record) => this.#incarnations.get(record.machine) as SimWorker, countCallers: () => 1 }, () => { work.notify() })
+    this.#registry = new WorkerRegistry(context, { connect: (record) => this.#incarnations.get(record.machine) as SimWorker, countCallers: () => 1, maxLeaseMs: MAX_WORKER_LEASE_MS }, () => { work.notify() })
     const drainer = new MachineDrainer(context, this.#registry, () => false)
     const scheduler = new BatchScheduler(context, this.#registry, new RunStats(), { isCordoned: (session) => drainer.isCordoned(session), getAllowedWorkers: () => null, getTicket: () => null }, work)
     // An earlier leader has ordered these.
--- a/src/pools/mover/test.ts
+++ b/src/pools/mover/test.ts
@@ -8,6 +8,7 @@
 import type { BatchCommand } from '../../batch/state/records.js'
 import { MachineDrainer } from '../../maintenance/machineDrainer/index.js'
 import type { MachineCalls, MachineStatus } from '../../maintenance/types.js'
+import { MAX_WORKER_LEASE_MS } from '../../workers/constants.js'
 import { WorkerRegistry } from '../../workers/registry/index.js'
 import type { WorkerSession } from '../../workers/session/index.js'
 import type { WorkerCalls, WorkerPollRequest } from '../../workers/types.js'
@@ -75,7 +76,7 @@
     await clock.sleep(ANSWER_MS + waitMs)
     return { refusal: null, clockMs: clock.now(), born: 1, running: [], ended: [] }
   }
-  const registry = new WorkerRegistry(context, { connect: () => ({ poll, close: () => {} }) as unknown as WorkerCalls, countCallers: () => 1 }, () => {})
+  const registry = new WorkerRegistry(context, { connect: () => ({ poll, close: () => {} }) as unknown as WorkerCalls, countCallers: () => 1, maxLeaseMs: MAX_WORKER_LEASE_MS }, () => {})
   const moves: string[] = []
   const calls: MachineCalls = {
     list: () => Promise.resolve(listed),
--- a/src/workers/constants.ts
+++ b/src/workers/constants.ts
@@ -6,14 +6,17 @@
  */
 export const LEASE_MS = 3000
 
-/**
- * No worker grants a longer lease than this. A worker that restarts under its id may hold one from a call to its earlier incarnation, whose
- * clock showed a later time.
- */
+/** Longest lease that workers allow, where the settings don't tell. */
 export const MAX_WORKER_LEASE_MS = 12_000
 
-/** A call to the earlier incarnation of a worker may be carried out 12 s late, and the lease that it grants holds as long. */
-export const RESTART_WINDOW_MS = 12_000 + MAX_WORKER_LEASE_MS
+/** A call that was not answered is carried out within this time, or never. */
+export const MAX_LATE_CALL_MS = 12_000
+
+/**
+ * A longer lease holds up the tasks of a lost worker for too long: a long-running task has to run again within 9 s, which includes the time to
+ * notice the end of the lease and to start.
+ */
+export const LONG_LEASE_MS = 8000
 
 /** Longest time that a worker holds a long poll when no run has ended; also the interval between lease renewals. */
 export const POLL_WAIT_MS = 600
--- a/src/workers/doubtfulWorkers/test.ts
+++ b/src/workers/doubtfulWorkers/test.ts
@@ -24,8 +24,8 @@
   const context = createTermContext(clock, state, { term: 2, signal: end.signal })
   for (const worker of workers) apply({ type: 'enrol', at: clock.wall() - restartedAgoMs, workers: [worker] })
   apply({ type: 'accept', at: 0, jobs: [createJob(JOB, { steps: [createStep()] })] })
-  apply({ type: 'place', at: 0, placements: [{ task: TASK, run: 1, worker: runOn }] })
-  const registry = new WorkerRegistry(context, { connect: (record) => ({ close: () => {}, ...connect(record, clock) }) as WorkerCalls, countCallers: () => 4 }, () => {})
+  apply({ type: 'place', at: clock.wall() - restartedAgoMs, placements: [{ task: TASK, run: 1, worker: runOn }] })
+  const registry = new WorkerRegistry(context, { connect: (record) => ({ close: () => {}, ...connect(record, clock) }) as WorkerCalls, countCallers: () => 4, maxLeaseMs: MAX_WORKER_LEASE_MS }, () => {})
   const sessionOf = (key: string): WorkerSession => registry.sessionOf(key) as WorkerSession
   /** Returns how long it takes until the run is listed as lost, or null when it is not within a time. */
   const waitForLoss = async (key: string, maxMs: number): Promise<number | null> => {
--- a/src/workers/isRunOver/index.ts
+++ b/src/workers/isRunOver/index.ts
@@ -5,14 +5,11 @@
  * the next incarnation, whose clock and lease are independent of the earlier ones.
  */
 import type { Millis } from '../../clock/index.js'
-import { MAX_WORKER_LEASE_MS } from '../constants.js'
+import { MAX_LATE_CALL_MS } from '../constants.js'
 import type { RunOrder } from '../runOrder/index.js'
 
-/**
- * Maximum wait for a next incarnation to revoke a run while it can't be reached. A run that has started there by mistake ends
- * with the longest lease at the latest.
- */
-const MAX_REVOCATION_WAIT_MS: Millis = MAX_WORKER_LEASE_MS
+/** Maximum wait for a next incarnation to revoke a run while it can't be reached. */
+const MAX_REVOCATION_WAIT_MS: Millis = MAX_LATE_CALL_MS
 
 /**
  * What the leader knows about the start of a run. `listed`: this incarnation has listed the run; `revoked`: this or the next
--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -2,11 +2,12 @@
 import type { Clock, Millis } from '../../clock/index.js'
 import type { TermContext } from '../../batch/leader/context.js'
 import type { WorkerRecord } from '../../batch/state/records.js'
-import { countRestarts, hasRestartedSince } from '../../batch/state/incarnations.js'
+import { countRestarts } from '../../batch/state/incarnations.js'
 import { workerKey, type WorkerReport } from '../../batch/types.js'
-import { IMMEDIATE_POLLS_PER_CALLER, LEASE_MS, MAX_WORKER_LEASE_MS, RESTART_WINDOW_MS } from '../constants.js'
+import { IMMEDIATE_POLLS_PER_CALLER } from '../constants.js'
 import { Cordons } from '../cordons/index.js'
 import { computeIdlePollWait } from '../idlePollWait/index.js'
+import { computeInheritedLease } from '../inheritedLease/index.js'
 import { isRunOver, startStatusOf } from '../isRunOver/index.js'
 import { PollGate } from '../pollGate/index.js'
 import { StartAdmission } from '../startAdmission/index.js'
@@ -30,6 +31,8 @@
   readonly connect: (worker: WorkerRecord) => WorkerCalls
   /** Returns the number of processes that make the calls, at least 1. */
   readonly countCallers: () => number
+  /** Longest lease that workers allow. */
+  readonly maxLeaseMs: Millis
 }
 
 /** Handles the workers' reports, and opens and ends sessions. */
@@ -63,7 +66,7 @@
     this.#clock = context.clock
     this.#connector = connector
     this.#onChange = onChange
-    this.cordons = new Cordons(context.clock, (machine) => { for (const session of this.sessionsOn(machine)) session.takeBackStarts() })
+    this.cordons = new Cordons(context.clock, (machine) => { for (const session of this.sessionsOn(machine)) session.starts.takeBack() })
     this.#admission = new StartAdmission(context.state, this.cordons)
     this.#pollGate = new PollGate(() => IMMEDIATE_POLLS_PER_CALLER * connector.countCallers())
     const records = [...context.state.data.workers]
@@ -223,7 +226,7 @@
    * @param job - id of the job
    */
   async settleStarts (job: string): Promise<void> {
-    await Promise.all([...this.#sessions.values()].map((session) => session.settleStarts(job)))
+    await Promise.all([...this.#sessions.values()].map((session) => session.starts.settle(job)))
   }
 
   /**
@@ -314,7 +317,7 @@
       log,
       metrics,
       token: term + countRestarts(state.data, record),
-      inheritedLeaseMs: hasRestartedSince(state.data, record, clock.wall() - RESTART_WINDOW_MS) ? MAX_WORKER_LEASE_MS : LEASE_MS,
+      inheritedLeaseMs: computeInheritedLease(state.data, record, clock.wall(), this.#connector.maxLeaseMs),
       mayOrder,
       runsOn: (worker) => state.runsOn(worker),
       findObstacle: (task, run) => this.#admission.findObstacle(session, task, run),
--- a/src/workers/registry/test.ts
+++ b/src/workers/registry/test.ts
@@ -4,7 +4,7 @@
 import { BatchState } from '../../batch/state/index.js'
 import type { BatchCommand } from '../../batch/state/records.js'
 import { ManualClock } from '../../clock/index.js'
-import { IMMEDIATE_POLLS_PER_CALLER, LEASE_MS } from '../constants.js'
+import { IMMEDIATE_POLLS_PER_CALLER, LEASE_MS, MAX_WORKER_LEASE_MS } from '../constants.js'
 import type { WorkerCalls, WorkerPollRequest } from '../types.js'
 import type { WorkerSession } from '../session/index.js'
 import { WorkerRegistry } from './index.js'
@@ -13,8 +13,11 @@
 const CALLERS = 4
 const ANSWER_MS = 5
 
-/** Workers of a state that a new leader takes over. */
-function createHarness (workerCount: number, busyWorkers: readonly string[] = [], silentWorkers: readonly string[] = []) {
+/**
+ * Workers of a state that a new leader takes over. Starts and stops get no answer, if `areStopsLost`; workers that have restarted list the first
+ * task of the job, if `hasLateRun`, since a late start has reached them.
+ */
+function createHarness (workerCount: number, busyWorkers: readonly string[] = [], silentWorkers: readonly string[] = [], { hasLateRun = false, areStopsLost = false } = {}) {
   const clock = new ManualClock()
   const state = new BatchState()
   const end = new AbortController()
@@ -30,18 +33,21 @@
     poll: async (req: WorkerPollRequest, timeoutMs: number) => {
       polls.push({ id, at: clock.now(), ...req })
       if (req.waitMs === 0) maxImmediateInFlight = Math.max(maxImmediateInFlight, ++immediateInFlight)
-      const isSilent = silentWorkers.includes(id)
+      const isSilent = silentWorkers.includes(id) && born === 1
       await clock.sleep(isSilent ? timeoutMs : ANSWER_MS + req.waitMs)
       if (req.waitMs === 0) immediateInFlight -= 1
       if (isSilent) throw new Error('no answer')
-      const task = busyWorkers.indexOf(id)
+      const task = born > 1 ? (hasLateRun ? 0 : -1) : busyWorkers.indexOf(id)
       return { refusal: null, clockMs: clock.now(), born, running: task < 0 ? [] : [{ task: `${JOB}.0.0.${task}`, run: 1, checkpoint: '', percent: 10, load: null }], ended: [], hasMoreEnds: false }
     },
     start: async () => { throw new Error('no answer') },
-    stop: async () => ({ refusal: null, clockMs: clock.now() }),
+    stop: async () => {
+      if (areStopsLost) throw new Error('no answer')
+      return { refusal: null, clockMs: clock.now() }
+    },
     close: () => {}
   }) as unknown as WorkerCalls
-  const registry = new WorkerRegistry(context, { connect, countCallers: () => CALLERS }, () => {})
+  const registry = new WorkerRegistry(context, { connect, countCallers: () => CALLERS, maxLeaseMs: MAX_WORKER_LEASE_MS }, () => {})
   return { clock, registry, polls, maxImmediateInFlight: () => maxImmediateInFlight, apply, stop: () => { end.abort(); registry.end() } }
 }
 
@@ -117,7 +123,7 @@
   })
 
   it('remembers that a start was never answered once the next incarnation has revoked it (LOST, a job was failed after one crash)', async () => {
-    const { clock, registry, apply, stop } = createHarness(1)
+    const { clock, registry, apply, stop } = createHarness(1, [], [], { hasLateRun: true })
     await clock.advance(100)
     const task = `${JOB}.0.0.0`
     apply({ type: 'place', at: 0, placements: [{ task, run: 1, worker: 'w0@1' }] })
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -30,13 +30,14 @@
   hasEndedAsPlanned = false
   /** Whether the worker answers its long polls. */
   readonly contact: WorkerContact
-  readonly #poller: WorkerPoller
+  readonly poller: WorkerPoller
+  /** Starts that wait or are in flight. */
+  readonly starts: StartQueue
   readonly #calls: WorkerCalls
   readonly #context: WorkerSessionContext
   readonly #lease: LeaseClock
   /** Notified when run ends are committed and when the session ends. */
   readonly #wakeNotifier: Notifier
-  readonly #startQueue: StartQueue
   readonly #control: RunControl
   #isEnded = false
   #goneAt: Millis = Number.POSITIVE_INFINITY
@@ -54,7 +55,7 @@
     this.#calls = calls
     this.#context = context
     this.contact = new WorkerContact(context.clock)
-    this.#poller = new WorkerPoller(calls, context, record.born)
+    this.poller = new WorkerPoller(calls, context, record.born)
     this.#lease = new LeaseClock(context.inheritedLeaseMs, context.clock.now())
     this.#wakeNotifier = new Notifier(context.clock)
     this.#control = new RunControl(key, this.orders, calls, context, {
@@ -62,7 +63,7 @@
       onStartRefused: (task, run) => { this.#recordEnd(task, run, 'refused', '') },
       onWrongWorker: () => { this.markGone(WRONG_WORKER) }
     })
-    this.#startQueue = new StartQueue(MAX_CONCURRENT_STARTS, (task, run) => this.#mayStart(task, run))
+    this.starts = new StartQueue(MAX_CONCURRENT_STARTS, (task, run) => this.#mayStart(task, run))
   }
 
   /** The worker's own description. */
@@ -73,7 +74,7 @@
   /** @param record - a newer description of the same incarnation */
   updateRecord (record: WorkerRecord): void {
     this.#record = record
-    this.takeBackStarts()
+    this.starts.takeBack()
   }
 
   /** Whether the worker has answered recently, so that it may be given work. */
@@ -81,6 +82,11 @@
     return this.goneReason === null && this.contact.isResponsive
   }
 
+  /** Time after which no run there can be running if the worker answers no more, in milliseconds. */
+  get leaseLeftMs (): Millis {
+    return this.#lease.expiresAt - this.#context.clock.now()
+  }
+
   /** Whether no run that was ever started in this incarnation can still be running. */
   get isLeaseExpired (): boolean {
     return this.goneReason !== null || (!this.isLive && this.#context.clock.now() > this.#lease.expiresAt)
@@ -98,7 +104,7 @@
 
   /** Clock reading by which the worker had crashed if it is gone; infinity while too little is known. */
   get crashedBy (): Millis {
-    return Math.min(this.#poller.crashedBy, this.#goneAt)
+    return Math.min(this.poller.crashedBy, this.#goneAt)
   }
 
   /**
@@ -202,30 +208,16 @@
     const { task, run } = startOrder
     const order: RunOrder = { ...createRunOrder(run, this.#context.clock.now()), phase: 'starting', sentAt: Number.POSITIVE_INFINITY, isTrial: startOrder.isTrial }
     this.orders.set(task, order)
-    const isSent = await this.#startQueue.run(task, run, () => this.#sendStart(startOrder, order))
+    const isSent = await this.starts.run(task, run, () => this.#sendStart(startOrder, order))
     if (!isSent) this.#recordEnd(task, run, 'refused', '')
   }
 
-  /** Takes back the starts that wait and must not be sent any more, so that they are placed again at once. */
-  takeBackStarts (): void {
-    this.#startQueue.takeBack()
-  }
-
   #mayStart (task: string, run: number): boolean {
     const reason = this.orders.get(task)?.isStopRequested === true ? 'stopRequested' : this.#context.findObstacle(task, run)
     if (reason !== null) this.#context.log.info('start.takenBack', { task, run, worker: this.key, reason })
     return reason === null
   }
 
-  /**
-   * Waits until the starts of a job that are in flight to this worker have been answered or have timed out.
-   *
-   * @param job - id of the job
-   */
-  settleStarts (job: string): Promise<void> {
-    return this.#startQueue.settle(job)
-  }
-
   async #sendStart (startOrder: StartOrder, order: RunOrder): Promise<void> {
     const { task, run, isTrial } = startOrder
     if (!this.#lease.isKnown || !this.#context.mayOrder()) {
@@ -244,7 +236,7 @@
    */
   stop (task: string, run: number): Promise<void> {
     const stopped = this.#control.stop(task, run)
-    this.takeBackStarts()
+    this.starts.takeBack()
     return stopped
   }
 
@@ -280,7 +272,7 @@
     const ticket = this.contact.recordPoll(waitMs)
     // The next incarnation may answer a worker's calls after a silence, and its ends have the same numbers.
     const acknowledgedSeq = this.contact.isInDoubt ? 0 : this.#runEnds.acknowledgedSeq
-    const result = await this.#poller.poll({ token: this.#context.token, acknowledgedSeq, leaseEndMs, waitMs })
+    const result = await this.poller.poll({ token: this.#context.token, acknowledgedSeq, leaseEndMs, waitMs })
     if (result.kind === 'wrongWorker') {
       this.markGone(WRONG_WORKER)
       return
--- a/src/workers/startQueue/index.ts
+++ b/src/workers/startQueue/index.ts
@@ -47,7 +47,7 @@
     return true
   }
 
-  /** Takes back the waiting starts that must not be sent any more, without waiting for their turn. */
+  /** Takes back the waiting starts that must not be sent any more, without waiting for their turn, so that they are placed again at once. */
   takeBack (): void {
     const waiting = this.#waiting
     this.#waiting = []
