Free the runs of a gone incarnation once the next one has answered without them (LOST)

Callers saw lasting tasks that did not run for 9 to 13 s although there was room: they had run on a worker that restarted while the leader changed, and the next incarnation was silent or lost soon after its first answer. A suspected task in that state also kept the others of its job waiting.

Cause: a run that this leader has not seen listed may be that of a late start which reaches the next incarnation. So it was kept until a stop for it was confirmed there, or for 12 s. But the next incarnation's first answer tells as much: it has seen a higher token, refuses every late call to the earlier incarnation since, and lists what it has.

Evidence: the new test of the registry fails without the change. Fewer stop orders are sent as well.

--- a/src/workers/isRunOver/index.ts
+++ b/src/workers/isRunOver/index.ts
@@ -13,7 +13,7 @@
 
 /**
  * What the leader knows about the start of a run. `listed`: this incarnation has listed the run; `revoked`: this or the next
- * incarnation has confirmed that it has stopped the run and will never start it; `open`: neither is known.
+ * incarnation has shown that it has stopped the run, or never had it, and will never start it; `open`: neither is known.
  */
 export type StartStatus = 'listed' | 'revoked' | 'open'
 
--- a/src/workers/poller/index.ts
+++ b/src/workers/poller/index.ts
@@ -27,6 +27,8 @@
   readonly #crashWindow: CrashWindow
   /** Reading of the worker's clock in the newest answer. */
   #newestAnswerMs: Millis = Number.NEGATIVE_INFINITY
+  /** Runs in the first answer, as `task#run`; null before, and when it did not list all ends. */
+  #firstListed: ReadonlySet<string> | null = null
 
   /**
    * @param calls - client of the worker
@@ -45,6 +47,17 @@
     return this.#crashWindow.crashedBy
   }
 
+  /**
+   * Returns whether a run that was placed on an earlier incarnation never started here and never will. Since its first answer the worker
+   * refuses late calls to the earlier incarnation, because it has seen a higher token.
+   *
+   * @param task - name of the task
+   * @param run - number of the run
+   */
+  excludesEarlier (task: string, run: number): boolean {
+    return this.#firstListed?.has(formatRun(task, run)) === false
+  }
+
   /**
    * Sends a poll.
    *
@@ -66,6 +79,11 @@
     if (answer.refusal !== null) throw new Error(`the worker refused the long poll: ${answer.refusal}`)
     if (answer.clockMs < this.#newestAnswerMs) return { kind: 'overtaken' }
     this.#newestAnswerMs = answer.clockMs
+    if (!answer.hasMoreEnds) this.#firstListed ??= new Set([...answer.running, ...answer.ended].map(({ task, run }) => formatRun(task, run)))
     return { kind: 'listed', runs: { ...answer, sentAt } }
   }
 }
+
+function formatRun (task: string, run: number): string {
+  return `${task}#${run}`
+}
--- a/src/workers/poller/test.ts
+++ b/src/workers/poller/test.ts
@@ -48,4 +48,17 @@
     answers[1]?.(listedAt(1))
     await pending
   })
+
+  it('excludes the runs of earlier incarnations that its first complete answer does not list', async () => {
+    const { answers, poller } = createHarness()
+    const [late, other] = ['00000000000000aa.0.0.0', '00000000000000aa.0.0.1'] as const
+    const first = poller.poll(REQUEST)
+    answers[0]?.({ ...listedAt(1), hasMoreEnds: true } as WorkerPollAnswer)
+    await first
+    expect(poller.excludesEarlier(other, 1)).to.equal(false)
+    const second = poller.poll(REQUEST)
+    answers[1]?.({ ...listedAt(2), running: [{ task: late, run: 1, checkpoint: '', percent: 0, load: null }] } as WorkerPollAnswer)
+    await second
+    expect([late, other].map((task) => poller.excludesEarlier(task, 1))).to.deep.equal([false, true])
+  })
 })
--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -240,7 +240,8 @@
     const lost: Array<readonly [string, number]> = []
     for (const [task, { run }] of this.#context.state.runsOn(session.key)) {
       const incarnation = { isLeaseExpired: session.isLeaseExpired, isGone: session.goneReason !== null, isReincarnated: session.isReincarnated || next !== undefined, goneForMs: session.goneForMs }
-      if (isRunOver(incarnation, startStatusOf(session.orders.get(task), run))) lost.push([task, run])
+      const start = next !== undefined && next.token > session.token && next.poller.excludesEarlier(task, run) ? 'revoked' : startStatusOf(session.orders.get(task), run)
+      if (isRunOver(incarnation, start)) lost.push([task, run])
       else if (incarnation.isGone && next !== undefined) this.#revokeAtNextIncarnation(session, next, task, run)
     }
     return lost
--- a/src/workers/registry/test.ts
+++ b/src/workers/registry/test.ts
@@ -141,6 +141,17 @@
     stop()
   })
 
+  it('frees a run that a new leader has not seen listed once the next incarnation answers without it (LOST, lasting tasks waited 12 s)', async () => {
+    const { clock, registry, stop } = createHarness(1, ['w0'], ['w0'], { areStopsLost: true })
+    await clock.advance(100)
+    const session = registry.sessionOf('w0@1') as WorkerSession
+    const { isDraining: _, ...record } = createWorker('w0', { born: 2 })
+    await registry.report({ ...record, id: 'w0', state: 'ready', drainLeftMs: null, sequence: 1 })
+    await clock.advance(100)
+    expect(registry.listLostRuns(session)).to.deep.equal([[`${JOB}.0.0.0`, 1]])
+    stop()
+  })
+
   it('keeps the runs of a worker that answers after a late deregistration of its earlier incarnation (task ran twice)', async () => {
     const { clock, registry, stop } = createHarness(2, ['w0'])
     await clock.advance(1000)
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -102,6 +102,11 @@
     return this.#context.clock.now() - this.#goneAt
   }
 
+  /** Fencing token of the calls to the worker. */
+  get token (): number {
+    return this.#context.token
+  }
+
   /** Clock reading by which the worker had crashed if it is gone; infinity while too little is known. */
   get crashedBy (): Millis {
     return Math.min(this.poller.crashedBy, this.#goneAt)
