Check in the fuzz that lasting tasks run again while there is capacity

The new variant alternates phases of faults (restarts under the same id, some workers lost until after the calm phase, silences, lost and late calls, new leaders, relays that fail) with calm ones.

--- a/src/batch/fuzz/simFleet.ts
+++ b/src/batch/fuzz/simFleet.ts
@@ -117,6 +117,11 @@
     return this.#readClock()
   }
 
+  /** Thousandths of a core that no run uses. */
+  get freeCpu (): number {
+    return this.#cpuCapacity - [...this.#runs.keys()].reduce((sum, task) => sum + this.#world.getStep(task).cpu, 0)
+  }
+
   /** Whether calls reach the worker. */
   get isReachable (): boolean {
     return !this.#isDead && !this.isPartitioned && !(this.#isSilent && this.#silence === 'both')
@@ -282,8 +287,7 @@
       const tookMs = isLasting ? Number.POSITIVE_INFINITY : estimateMs * (0.5 + random.next())
       this.#runs.set(task, { run, startedAt: clock.now(), endsAt: clock.now() + tookMs, outcome: random.next() < 0.05 ? 'failed' : 'done' })
     }
-    const used = [...this.#runs.keys()].reduce((sum, other) => sum + getStep(other).cpu, 0)
-    if (used > this.#cpuCapacity) violations.push(`${task} exceeds the capacity of its worker`)
+    if (this.freeCpu < 0) violations.push(`${task} exceeds the capacity of its worker`)
   }
 
   #crashSoon (task: string): void {
--- a/src/batch/fuzz/simVariant.ts
+++ b/src/batch/fuzz/simVariant.ts
@@ -43,6 +43,13 @@
   readonly stopGraceMs: Millis
   /** Maximum number of run ends in an answer to a long poll. */
   readonly endsPerAnswer: number
+  /** Number of times that a phase of faults is followed by a calm one; 0 for one phase of faults and none of calm. */
+  readonly rounds: number
+  readonly calmPhaseMs: Millis
+  /** Share of the jobs that are long-running. */
+  readonly lastingShare: number
+  /** Share of the crashed workers that are back only after the next calm phase. */
+  readonly goneShare: number
 }
 
 /** No faults of calls. */
@@ -64,7 +71,31 @@
   slowestClockRate: null,
   isLeaseExact: false,
   stopGraceMs: 0,
-  endsPerAnswer: Number.POSITIVE_INFINITY
+  endsPerAnswer: Number.POSITIVE_INFINITY,
+  rounds: 0,
+  calmPhaseMs: 0,
+  lastingShare: 0,
+  goneShare: 0
+}
+
+/** Long-running tasks on workers that fail, restart and are lost for good, in phases that are followed by calm ones. */
+export const LASTING_VARIANT: SimVariant = {
+  ...PLAIN_VARIANT,
+  faultPhaseMs: 4000,
+  lateDelayMs: [2000, 12_000],
+  restartChance: 0.08,
+  restartMs: [100, 2000],
+  hasLateReports: false,
+  keptAddressShare: 0.5,
+  silenceChance: 0.04,
+  silenceMs: [500, 4000],
+  slowestClockRate: 0.98,
+  isLeaseExact: true,
+  stopGraceMs: 200,
+  rounds: 4,
+  calmPhaseMs: 14_000,
+  lastingShare: 0.25,
+  goneShare: 0.3
 }
 
 /** Gangs, silences of about the length of a lease, slow clocks, very late calls, and restarts at the same address. */
@@ -83,5 +114,9 @@
   slowestClockRate: 0.98,
   isLeaseExact: true,
   stopGraceMs: 200,
-  endsPerAnswer: 3
+  endsPerAnswer: 3,
+  rounds: 0,
+  calmPhaseMs: 0,
+  lastingShare: 0,
+  goneShare: 0
 }
--- a/src/batch/fuzz/simulation.ts
+++ b/src/batch/fuzz/simulation.ts
@@ -13,8 +13,9 @@
 import { BatchScheduler } from '../scheduler/index.js'
 import { BatchState } from '../state/index.js'
 import type { BatchCommand } from '../state/records.js'
-import { workerKey, type Step } from '../types.js'
+import { parseTask, workerKey, type Step, type TaskPosition } from '../types.js'
 import { EndOracle, type Violation } from './endOracle.js'
+import { LastingOracle } from './lastingOracle.js'
 import { Random } from './random.js'
 import { AddressCalls } from './simCalls.js'
 import { createStepLookup, MAX_LEASE_MS, SimWorker, type SimWorld } from './simFleet.js'
@@ -36,6 +37,8 @@
 
 const MAX_GANG_SIZE = 4
 
+const LASTING_CPU = 200
+
 /** Simulates successive leaders over one replicated state, with workers and calls that fail. */
 export class Simulation {
   readonly clock = new ManualClock()
@@ -47,6 +50,7 @@
   readonly #steps = new Map<string, Step[]>()
   readonly #incarnations: SimWorker[] = []
   readonly #relays: SimRelays
+  readonly #lastingOracle: LastingOracle
   #term = 0
   #index = 0
   #termEnd: AbortController | null = null
@@ -81,6 +85,7 @@
       trace: (event) => { printLog(`${this.clock.now()} ${event}`) },
       faults: NO_FAULTS
     }
+    this.#lastingOracle = new LastingOracle(this.clock, this.world, violations, (task) => this.#describeTask(task))
     this.#relays = new SimRelays(this.clock, this.#random, (worker) => this.#connect(worker), RELAYS)
     this.#apply({ type: 'configure', at: this.clock.wall(), config: createConfig(1, [createQueue({ maxAttempts: 50 })]) })
     for (let i = 0; i < WORKERS; i++) this.#startIncarnation(i)
@@ -124,24 +129,62 @@
 
   async simulate (): Promise<void> {
     await this.changeLeader()
+    const { rounds } = this.#variant
+    for (let round = 0; round < Math.max(1, rounds); round++) {
+      await this.#playFaults()
+      this.#endFaults()
+      if (rounds > 0) await this.#playCalm()
+    }
+    this.#cancelLasting()
+    for (let at = 0; at < RECOVERY_PHASE_MS && this.state.activeJobs.size > 0; at += STEP_MS) {
+      await this.#reportAll()
+      await this.clock.advance(STEP_MS)
+    }
+    this.#termEnd?.abort()
+    this.#registry?.end()
+  }
+
+  async #playFaults (): Promise<void> {
     this.world.faults = this.#variant.faults
     for (let at = 0; at < this.#variant.faultPhaseMs; at += STEP_MS) {
       this.#injectFaults()
+      this.#lastingOracle.recordFault()
       if (this.#random.next() < 0.015) await this.changeLeader()
       await this.clock.advance(STEP_MS)
     }
+  }
+
+  #endFaults (): void {
     this.world.faults = NO_FAULTS
     this.#relays.recover()
     for (const incarnation of this.#incarnations) {
       incarnation.isPartitioned = false
       incarnation.fallSilent('both', 0)
     }
-    for (let at = 0; at < RECOVERY_PHASE_MS && this.state.activeJobs.size > 0; at += STEP_MS) {
+  }
+
+  /** Passes time without faults, but for late calls that are on their way and workers that come back. */
+  async #playCalm (): Promise<void> {
+    for (let at = 0; at < this.#variant.calmPhaseMs; at += STEP_MS) {
       await this.#reportAll()
       await this.clock.advance(STEP_MS)
+      this.#lastingOracle.sample(this.#incarnations)
     }
-    this.#termEnd?.abort()
-    this.#registry?.end()
+  }
+
+  #describeTask (name: string): string {
+    const position = parseTask(name) as TaskPosition
+    const task = this.state.data.jobs.get(position.job)?.occurrences.get(position.occurrence)?.[position.step]?.tasks[position.index]
+    if (task === undefined || task.active.length === 0) return `it waits, ${task?.crashes ?? 0} crashes`
+    return task.active.map(({ run, worker }) => {
+      const session = this.#registry?.sessionOf(worker)
+      return `run ${run} on ${worker} is ${session?.orders.get(name)?.phase ?? 'without an order'}, worker ${session?.goneReason ?? (session?.isLive === true ? 'live' : `silent, lease ${session?.isLeaseExpired === true ? 'over' : 'open'}`)}`
+    }).join(', ')
+  }
+
+  #cancelLasting (): void {
+    const ids = [...this.state.activeJobs.values()].filter(({ steps }) => steps.some(({ isLasting }) => isLasting)).map(({ id }) => id)
+    if (ids.length > 0) this.#cancelJobs(ids)
   }
 
   #injectFaults (): void {
@@ -170,7 +213,9 @@
     const id = (this.#steps.size + 1).toString(16).padStart(16, '0')
     const task = createStep({ count: 1 + this.#random.nextInt(5), cpu: 500 + this.#random.nextInt(2000), estimateMs: 100 + this.#random.nextInt(900), maxPerWorker: this.#random.nextInt(3) })
     const first = this.#random.isBelow(this.#variant.gangShare) ? createStep({ ...task, isGang: true, count: 2 + this.#random.nextInt(MAX_GANG_SIZE - 1), cpu: task.cpu / 2 }) : task
-    const steps = [first, createStep({ after: [0], estimateMs: 200 })]
+    const isLasting = this.#random.isBelow(this.#variant.lastingShare)
+    const steps = isLasting ? [createStep({ ...task, cpu: LASTING_CPU, maxPerWorker: 0, isLasting })] : [first, createStep({ after: [0], estimateMs: 200 })]
+    if (isLasting) this.#lastingOracle.watch(Array.from({ length: task.count }, (_, i) => `${id}.0.0.${i}`))
     this.#steps.set(id, steps)
     if (this.#random.isBelow(this.#crashingShare)) this.world.crashingTasks.add(`${id}.0.0.${this.#random.nextInt(first.count)}`)
     this.#apply({ type: 'accept', at: this.clock.wall(), jobs: [createJob(id, { steps })] })
@@ -179,7 +224,12 @@
 
   #cancel (): void {
     const [job] = [...this.state.activeJobs.keys()].slice(-1)
-    if (job !== undefined) this.#apply({ type: 'cancel', at: this.clock.wall(), ids: [job] })
+    if (job !== undefined) this.#cancelJobs([job])
+  }
+
+  #cancelJobs (ids: readonly string[]): void {
+    for (const id of ids) this.#lastingOracle.forget(id)
+    this.#apply({ type: 'cancel', at: this.clock.wall(), ids })
   }
 
   /** Crashes a worker and restarts it, at once or after a time. */
@@ -190,7 +240,8 @@
       this.#startIncarnation(i)
     } else if (!worker.isDead) {
       worker.crash()
-      this.#restartLater(worker, restartMs)
+      const { goneShare, calmPhaseMs } = this.#variant
+      this.#restartLater(worker, this.#random.isBelow(goneShare) ? [calmPhaseMs, calmPhaseMs + restartMs[1]] : restartMs)
     }
   }
 
--- a/src/batch/fuzz/test.ts
+++ b/src/batch/fuzz/test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { Simulation } from './simulation.js'
-import { GANG_VARIANT } from './simVariant.js'
+import { GANG_VARIANT, LASTING_VARIANT } from './simVariant.js'
 
 const RUNS = Number(process.env.FUZZ_RUNS ?? 25)
 /** Share of the jobs with a task that crashes its workers. */
@@ -55,3 +55,14 @@
     })
   }
 })
+
+describe('fuzz: long-running tasks, workers that fail and are lost for good, and calm times', () => {
+  for (const seed of listSeeds()) {
+    it(`starts each long-running task again while there is capacity for it, seed ${seed}`, async () => {
+      const simulation = new Simulation(seed, 0, LASTING_VARIANT)
+      await simulation.simulate()
+      expect(simulation.world.violations).to.deep.equal([])
+      expect([...simulation.state.activeJobs.keys()], 'jobs that have not ended').to.deep.equal([])
+    })
+  }
+})
