Count the runs that a worker lists and nobody knows as used capacity (LIMIT)

A worker with a run that the state doesn't have there, such as a late start that reached the next incarnation, was told to stop it and at once given new work for the whole of its capacity. What is being stopped still counts, so that the next start brought the worker over it.

The session keeps such tasks as of the worker's newest answer, and the planner deducts them.

Evidence: the new test of the scheduler fails without the deduction.

--- a/bench/policies/player.ts
+++ b/bench/policies/player.ts
@@ -150,7 +150,7 @@
       if (waiting.length === 0) continue
       const workers = this.#pools.availableFor(service).map(({ name }) => {
         const key = workerOf(name)
-        const session = { key, record: this.#state.data.workers.get(key) } as unknown as WorkerSession
+        const session = { key, record: this.#state.data.workers.get(key), leaseLeftMs: 0, strayTasks: [] } as unknown as WorkerSession
         return createPoolWorker(session, this.#state, { startsLeft: this.#stats.countAllowedStarts(key, at), slowdown: this.#stats.getSlowdown(key) })
       })
       for (const { task, worker } of planStarts(workers, listGroups(ORDERS[this.#policy.order](this.#describe(waiting), at), at))) {
--- a/src/batch/poolWorker/index.ts
+++ b/src/batch/poolWorker/index.ts
@@ -32,6 +32,7 @@
   const { record, key } = session
   const worker: PoolWorker = { key, machine: record.machine === '' ? record.id : record.machine, zone: record.zone, labels: record.labels, room: record.room, free: { ...record.room }, taskCountByStep: new Map(), startsLeft, slowdown, freshRuns, trialJob: null, hasLongLease: session.leaseLeftMs > LONG_LEASE_MS }
   for (const task of state.runsOn(key).keys()) deductTask(worker, task, state)
+  for (const task of session.strayTasks) if (!state.runsOn(key).has(task)) deductTask(worker, task, state)
   // A start that an earlier incarnation left unanswered may reach this one.
   for (const [earlier, { born }] of state.workerIndex.withId(record.id)) {
     if (born < record.born) for (const task of state.runsOn(earlier).keys()) deductTask(worker, task, state)
--- a/src/batch/poolWorker/test.ts
+++ b/src/batch/poolWorker/test.ts
@@ -13,7 +13,7 @@
     harness.apply('enrol', { workers: [next] })
     harness.place(`${JOB_ID}.0.0.1`, 1, 'w@2')
     harness.place(`${JOB_ID}.0.0.2`, 1, 'x@1')
-    const describe = (key: string, record = next): number => createPoolWorker({ key, record } as WorkerSession, harness.state).free.cpu
+    const describe = (key: string, record = next): number => createPoolWorker({ key, record, strayTasks: [] as readonly string[] } as WorkerSession, harness.state).free.cpu
     expect(describe('w@2')).to.equal(next.room.cpu - 2000)
     expect(describe('w@1', createWorker('w')), 'the earlier incarnation').to.equal(next.room.cpu - 1000)
     harness.end(`${JOB_ID}.0.0.0`, 1, 'lost')
--- a/src/batch/scheduler/test.ts
+++ b/src/batch/scheduler/test.ts
@@ -86,6 +86,26 @@
     stop()
   })
 
+  it('counts a run that the worker lists and nobody knows until it is gone (LIMIT)', async () => {
+    const { clock, workers, submit, stop } = createHarness(1)
+    submit(RUNNING_JOB, { steps: [createStep({ cpu: 12_000 })] })
+    await clock.advance(200)
+    const worker = workers.get('booth-0') as FakeWorker
+    const stray = `${RUNNING_JOB}.0.0.0`
+    worker.endRun(stray)
+    await clock.advance(200)
+    worker.ignoresStops = true
+    worker.running.set(stray, 1)
+    await clock.advance(1000)
+    submit('00000000000000bb', { steps: [createStep({ cpu: 8000 })] })
+    await clock.advance(1000)
+    expect([...worker.running.keys()]).to.deep.equal([stray])
+    worker.endRun(stray, 'stopped')
+    await clock.advance(1000)
+    expect([...worker.running.keys()]).to.deep.equal(['00000000000000bb.0.0.0'])
+    stop()
+  })
+
   it('gives no work to a worker of the state that has left and never answers a new leader', async () => {
     const { clock, workers, submit, stop } = createHarness(2)
     const departed = workers.get('booth-0') as FakeWorker
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -31,6 +31,8 @@
   /** Whether the worker answers its long polls. */
   readonly contact: WorkerContact
   readonly poller: WorkerPoller
+  /** Tasks with runs that the worker lists and the state doesn't have there, such as those of late starts; they are being stopped. */
+  strayTasks: readonly string[] = []
   /** Starts that wait or are in flight. */
   readonly starts: StartQueue
   readonly #calls: WorkerCalls
@@ -303,6 +305,7 @@
     }
     const { confirmed, unknown, missing } = compareRuns(expected, answer)
     for (const run of confirmed) this.#observeRun(run, answer.clockMs)
+    this.strayTasks = unknown.map(({ task }) => task)
     for (const run of unknown) this.#stopUnknownRun(run)
     for (const { task, run } of missing) this.#onMissingRun(task, run, answer.sentAt)
     if (answer.ended.length > 0) this.#context.onChange()
