Play failures, refusals and hopeless jobs in the fuzz of lasting tasks

Now three in ten lasting tasks fail after some time, one in ten other jobs can't be done, and workers refuse all starts or fail all that they start for up to 4 s. `ProgressWatch` runs in it as in a term, since it ends probations.

It showed one more way, mended here: after a change of leader all runs on a lost worker were suspected, however long they had run, and lasting tasks waited for their turn to be tried alone.

--- a/src/batch/fuzz/lastingOracle.ts
+++ b/src/batch/fuzz/lastingOracle.ts
@@ -1,7 +1,8 @@
 /** Checks that a long-running task which has stopped is started again while there is capacity for it. */
 import type { Clock, Millis } from '../../clock/index.js'
 import type { Violation } from './endOracle.js'
-import type { SimWorker, SimWorld } from './simFleet.js'
+import type { SimWorker } from './simFleet.js'
+import type { SimWorld } from './simWorld.js'
 
 /** A task may be away for this long after its last run. */
 const MAX_AWAY_MS: Millis = 6000
@@ -69,11 +70,11 @@
         continue
       }
       const { cpu } = this.#world.getStep(task)
-      const hasCapacity = workers.some((worker) => !worker.isDead && !worker.isCutOff && worker.freeCpu >= CAPACITY_FACTOR * cpu)
-      if (!hasCapacity || now - watch.lastRunAt < MAX_AWAY_MS) watch.heldSince = null
+      const host = workers.find((worker) => !worker.isDead && !worker.isCutOff && worker.freeCpu >= CAPACITY_FACTOR * cpu)
+      if (host === undefined || now - watch.lastRunAt < MAX_AWAY_MS) watch.heldSince = null
       else watch.heldSince ??= now
       if (watch.heldSince === null || now - watch.heldSince < MAX_WAIT_MS || now - this.#lastFaultAt < MAX_WAIT_MS + CALM_BEFORE_MS) continue
-      this.#violations.push(`${task} is not started again although there is capacity for it: ${Math.round(now - watch.lastRunAt)} ms after its last run; ${this.#describe(task)}`)
+      this.#violations.push(`${task} is not started again although incarnation ${host?.born} has capacity for it: ${Math.round(now - watch.lastRunAt)} ms after its last run; ${this.#describe(task)}`)
       this.#tasks.delete(task)
     }
   }
--- a/src/batch/fuzz/simCalls.ts
+++ b/src/batch/fuzz/simCalls.ts
@@ -1,7 +1,8 @@
 /** Simulated calls to the workers at one address, which fail, lose their answers or are carried out late. */
 import type { Millis } from '../../clock/index.js'
 import type { OrderAnswer, StartRequest, StopRequest, WorkerCalls, WorkerPollAnswer, WorkerPollRequest } from '../../workers/types.js'
-import type { SimWorker, SimWorld } from './simFleet.js'
+import type { SimWorker } from './simFleet.js'
+import type { SimWorld } from './simWorld.js'
 import { PLAIN_VARIANT } from './simVariant.js'
 
 const CALL_LATENCY_MS: Millis = 2
--- a/src/batch/fuzz/simFleet.ts
+++ b/src/batch/fuzz/simFleet.ts
@@ -1,13 +1,13 @@
 /** Simulated workers on a manual clock, with an oracle that checks which tasks they are ordered to run. */
-import type { ManualClock, Millis } from '../../clock/index.js'
+import type { Millis } from '../../clock/index.js'
 import type { WorkerPollAnswer, WorkerPollRequest, OrderAnswer, StartRequest, StopRequest } from '../../workers/types.js'
 import type { EndedRun, RunOutcome, Step } from '../types.js'
 import { parseTask } from '../types.js'
-import type { DoneEnd, EndOracle, Violation } from './endOracle.js'
-import type { Random } from './random.js'
+import type { DoneEnd } from './endOracle.js'
 import { SimCalls } from './simCalls.js'
-import type { GangHost, SimGangs } from './simGang.js'
-import { PLAIN_VARIANT, type CallFaults, type SimVariant } from './simVariant.js'
+import type { GangHost } from './simGang.js'
+import { PLAIN_VARIANT, type SimVariant } from './simVariant.js'
+import type { SimWorld } from './simWorld.js'
 
 interface SimRun {
   readonly run: number
@@ -43,34 +43,14 @@
 /** Starts that the platform allows after the third crash under a task. */
 const MAX_STARTS_AFTER_THIRD_CRASH = 2
 
-/** State shared by all simulated workers. */
-export interface SimWorld {
-  /** Tasks that crash each worker that starts them. */
-  readonly crashingTasks: Set<string>
-  /** Number of workers that have crashed while a task ran there, by task. */
-  readonly crashesUnder: Map<string, number>
-  /** Number of starts after the third of those crashes, by task. */
-  readonly startsAfterThirdCrash: Map<string, number>
-  /** Called when a worker has crashed because of a task. */
-  onCrash: (worker: SimWorker) => void
-  readonly clock: ManualClock
-  readonly random: Random
-  readonly violations: Violation[]
-  readonly getStep: (task: string) => Step
-  /** Workers on which each task is running, by task. */
-  readonly runningOn: Map<string, Set<SimWorker>>
-  /** Tasks whose outcome `done` was acknowledged. */
-  readonly finishedTasks: Set<string>
-  faults: CallFaults
-  /** Plain by default. */
-  readonly variant?: SimVariant
-  /** Checks the ends as well, where it is set. */
-  readonly oracle?: EndOracle
-  /** Prints what the workers do. */
-  readonly trace?: (event: string) => void
-  /** Set where steps may be gangs. */
-  readonly gangs?: SimGangs
-}
+/** Time from the start to the end of a run on a worker that fails all that it starts, or of a job that fails wherever it runs. */
+const FAILURE_DELAY_MS: Millis = 100
+
+/** Longest time from the start of a long-running task to its failure. */
+const MAX_LASTING_MS: Millis = 8000
+
+/** How a worker is ill: it refuses all starts, or fails all that it starts. */
+export type Illness = 'refusing' | 'failing'
 
 /** One incarnation of a simulated worker. */
 export class SimWorker extends SimCalls implements GangHost {
@@ -90,6 +70,8 @@
   #lapsedSeq = 0
   #silence: SilenceMode | null = null
   #silentUntil: Millis = 0
+  #illness: Illness | null = null
+  #illUntil: Millis = 0
   #isDead = false
 
   /**
@@ -153,6 +135,22 @@
     this.#silentUntil = this.#world.clock.now() + ms
   }
 
+  /**
+   * Makes the worker ill for a while.
+   *
+   * @param illness - what it does
+   * @param ms - for how long; 0 ends its illness
+   */
+  fallIll (illness: Illness, ms: Millis): void {
+    if (ms > 0) this.#trace(`is ${illness} for ${Math.round(ms)} ms`)
+    this.#illness = illness
+    this.#illUntil = this.#world.clock.now() + ms
+  }
+
+  #isIll (illness: Illness): boolean {
+    return this.#illness === illness && this.#world.clock.now() < this.#illUntil
+  }
+
   /** Ends this incarnation without notice. */
   crash (): void {
     if (this.#isDead) return
@@ -174,7 +172,7 @@
 
   /** Answers a long poll. */
   async answerPoll (req: WorkerPollRequest): Promise<WorkerPollAnswer> {
-    const { clock, gangs } = this.#world
+    const { clock, gangs, getStep } = this.#world
     this.#expireLeaseAtCall()
     if (req.token < this.#token) return { refusal: 'fenced' as const }
     this.#token = req.token
@@ -183,7 +181,7 @@
     const until = clock.now() + req.waitMs
     while (this.#unacknowledgedEnds.length === 0 && clock.now() < until && !this.#isDead) await clock.sleep(TICK_MS)
     const now = clock.now()
-    const running = [...this.#runs].map(([task, { run, startedAt, endsAt }]) => ({ task, run, checkpoint: '', percent: gangs?.getPercent(task, run) ?? computePercent(now - startedAt, endsAt - startedAt), load: null }))
+    const running = [...this.#runs].map(([task, { run, startedAt, endsAt }]) => ({ task, run, checkpoint: '', percent: gangs?.getPercent(task, run) ?? computePercent(now - startedAt, getStep(task).isLasting ? LONG_RUNNING_START_MS : endsAt - startedAt), load: null }))
     const listedEnds = this.#unacknowledgedEnds.slice(0, this.#variant.endsPerAnswer)
     for (const end of listedEnds) end.isListed = true
     return { refusal: null, clockMs: this.clockMs, born: this.born, running, ended: listedEnds.map(({ ended }) => ended), hasMoreEnds: listedEnds.length < this.#unacknowledgedEnds.length }
@@ -199,6 +197,7 @@
     this.#renewLease(req.leaseEndMs)
     if (this.#runs.get(req.task)?.run === req.run) return { refusal: null, clockMs }
     if (req.run <= (this.#revokedRuns.get(req.task) ?? 0)) return { refusal: 'stale', clockMs }
+    if (this.#isIll('refusing')) return { refusal: 'unhealthy', clockMs }
     this.#beginRun(req)
     return { refusal: null, clockMs }
   }
@@ -270,7 +269,7 @@
 
   #beginRun ({ task, run }: StartRequest): void {
     this.#trace(`starts run ${run} of ${task}`)
-    const { clock, random, violations, runningOn, finishedTasks, oracle, gangs, getStep } = this.#world
+    const { clock, violations, runningOn, finishedTasks, oracle, gangs, getStep } = this.#world
     const others = runningOn.get(task) ?? new Set()
     if (others.size > 0) violations.push(`${task} is started while it is already running`)
     if (oracle !== undefined) oracle.recordStart(task, run, this.#name)
@@ -284,12 +283,20 @@
       if (replaced !== undefined) gangs.leave(task, replaced.run, this)
       gangs.join(task, run, this)
     } else {
-      const tookMs = isLasting ? Number.POSITIVE_INFINITY : estimateMs * (0.5 + random.next())
-      this.#runs.set(task, { run, startedAt: clock.now(), endsAt: clock.now() + tookMs, outcome: random.next() < 0.05 ? 'failed' : 'done' })
+      this.#runs.set(task, { run, startedAt: clock.now(), ...this.#planEnd(task, isLasting, estimateMs) })
     }
     if (this.freeCpu < 0) violations.push(`${task} exceeds the capacity of its worker`)
   }
 
+  #planEnd (task: string, isLasting: boolean, estimateMs: Millis): Pick<SimRun, 'endsAt' | 'outcome'> {
+    const { clock, random, hopelessJobs } = this.#world
+    const now = clock.now()
+    if (this.#isIll('failing') || hopelessJobs?.has(parseTask(task)?.job ?? '') === true) return { endsAt: now + FAILURE_DELAY_MS, outcome: 'failed' }
+    if (isLasting) return { endsAt: random.isBelow(this.#variant.lastingFailureShare) ? now + MAX_LASTING_MS * random.next() : Number.POSITIVE_INFINITY, outcome: 'failed' }
+    const endsAt = now + estimateMs * (0.5 + random.next())
+    return { endsAt, outcome: random.next() < 0.05 ? 'failed' : 'done' }
+  }
+
   #crashSoon (task: string): void {
     const { clock, violations, startsAfterThirdCrash, onCrash } = this.#world
     if (this.countCrashes(task) >= 3) {
@@ -322,9 +329,9 @@
   }
 }
 
-/** Returns the progress of a run, or of the start-up for a long-running task, in percent. */
+/** Returns the progress of a run, or of the start-up of a long-running task, in percent. */
 function computePercent (ranMs: Millis, tookMs: Millis): number {
-  return Math.min(100, Math.floor(ranMs / (tookMs === Number.POSITIVE_INFINITY ? LONG_RUNNING_START_MS : tookMs) * 100))
+  return Math.min(100, Math.floor(ranMs / tookMs * 100))
 }
 
 /**
--- a/src/batch/fuzz/simVariant.ts
+++ b/src/batch/fuzz/simVariant.ts
@@ -43,13 +43,22 @@
   readonly stopGraceMs: Millis
   /** Maximum number of run ends in an answer to a long poll. */
   readonly endsPerAnswer: number
+  /** Failures after which a task is given up. */
+  readonly maxAttempts: number
   /** Number of times that a phase of faults is followed by a calm one; 0 for one phase of faults and none of calm. */
   readonly rounds: number
   readonly calmPhaseMs: Millis
   /** Share of the jobs that are long-running. */
   readonly lastingShare: number
+  /** Share of the runs of long-running tasks that fail after some time. */
+  readonly lastingFailureShare: number
+  /** Share of the jobs whose tasks fail wherever they run. */
+  readonly hopelessShare: number
   /** Share of the crashed workers that are back only after the next calm phase. */
   readonly goneShare: number
+  /** Probability for each step of the simulation that a worker begins to refuse all starts, or to fail all that it starts. */
+  readonly illnessChance: number
+  readonly illnessMs: MillisRange
 }
 
 /** No faults of calls. */
@@ -72,10 +81,15 @@
   isLeaseExact: false,
   stopGraceMs: 0,
   endsPerAnswer: Number.POSITIVE_INFINITY,
+  maxAttempts: 50,
   rounds: 0,
   calmPhaseMs: 0,
   lastingShare: 0,
-  goneShare: 0
+  lastingFailureShare: 0,
+  hopelessShare: 0,
+  goneShare: 0,
+  illnessChance: 0,
+  illnessMs: [0, 0]
 }
 
 /** Long-running tasks on workers that fail, restart and are lost for good, in phases that are followed by calm ones. */
@@ -92,10 +106,15 @@
   slowestClockRate: 0.98,
   isLeaseExact: true,
   stopGraceMs: 200,
+  maxAttempts: 4,
   rounds: 4,
   calmPhaseMs: 14_000,
   lastingShare: 0.25,
-  goneShare: 0.3
+  lastingFailureShare: 0.3,
+  hopelessShare: 0.1,
+  goneShare: 0.3,
+  illnessChance: 0.04,
+  illnessMs: [500, 4000]
 }
 
 /** Gangs, silences of about the length of a lease, slow clocks, very late calls, and restarts at the same address. */
@@ -115,8 +134,13 @@
   isLeaseExact: true,
   stopGraceMs: 200,
   endsPerAnswer: 3,
+  maxAttempts: 50,
   rounds: 0,
   calmPhaseMs: 0,
   lastingShare: 0,
-  goneShare: 0
+  lastingFailureShare: 0,
+  hopelessShare: 0,
+  goneShare: 0,
+  illnessChance: 0,
+  illnessMs: [0, 0]
 }
--- a/src/batch/fuzz/simulation.ts
+++ b/src/batch/fuzz/simulation.ts
@@ -9,6 +9,7 @@
 import { RelayRouter } from '../../workers/relayRouter/index.js'
 import type { TermContext } from '../leader/context.js'
 import { createConfig, createJob, createQueue, createStep, createWorker } from '../fixtures/index.js'
+import { ProgressWatch } from '../progressWatch/index.js'
 import { RunStats } from '../runStats/index.js'
 import { BatchScheduler } from '../scheduler/index.js'
 import { BatchState } from '../state/index.js'
@@ -18,7 +19,8 @@
 import { LastingOracle } from './lastingOracle.js'
 import { Random } from './random.js'
 import { AddressCalls } from './simCalls.js'
-import { createStepLookup, MAX_LEASE_MS, SimWorker, type SimWorld } from './simFleet.js'
+import { createStepLookup, MAX_LEASE_MS, SimWorker } from './simFleet.js'
+import type { SimWorld } from './simWorld.js'
 import { SimGangs } from './simGang.js'
 import { SimRelays } from './simRelays.js'
 import { NO_FAULTS, PLAIN_VARIANT, type MillisRange, type SimVariant } from './simVariant.js'
@@ -70,6 +72,7 @@
     const violations: Violation[] = []
     this.world = {
       crashingTasks: new Set(),
+      hopelessJobs: new Set(),
       crashesUnder: new Map(),
       startsAfterThirdCrash: new Map(),
       onCrash: (worker) => { this.#restartLater(worker, RESTART_MS) },
@@ -87,7 +90,7 @@
     }
     this.#lastingOracle = new LastingOracle(this.clock, this.world, violations, (task) => this.#describeTask(task))
     this.#relays = new SimRelays(this.clock, this.#random, (worker) => this.#connect(worker), RELAYS)
-    this.#apply({ type: 'configure', at: this.clock.wall(), config: createConfig(1, [createQueue({ maxAttempts: 50 })]) })
+    this.#apply({ type: 'configure', at: this.clock.wall(), config: createConfig(1, [createQueue({ maxAttempts: this.#variant.maxAttempts })]) })
     for (let i = 0; i < WORKERS; i++) this.#startIncarnation(i)
   }
 
@@ -119,11 +122,13 @@
     const router = new RelayRouter(this.clock, log, () => this.#relays.listMembers(term))
     const deps = { links: this.#relays.links, router, connect: (worker: WorkerAddress) => this.#connect(worker), mayOrder: context.mayOrder, metrics: context.metrics, term }
     const registry = new WorkerRegistry(context, { connect: (record) => new RelayedWorkerCalls(workerKey(record), record, deps), countCallers: () => router.countCallers(), maxLeaseMs: MAX_LEASE_MS }, () => { workNotifier.notify() })
-    const scheduler = new BatchScheduler(context, registry, new RunStats(), { isCordoned: () => false, getAllowedWorkers: () => null, getTicket: () => null }, workNotifier)
+    const stats = new RunStats()
+    const scheduler = new BatchScheduler(context, registry, stats, { isCordoned: () => false, getAllowedWorkers: () => null, getTicket: () => null }, workNotifier)
     this.#termEnd = end
     this.#registry = registry
     this.#workNotifier = workNotifier
     void scheduler.run()
+    if (this.#variant.lastingShare > 0) void new ProgressWatch(context, registry, stats).run()
     await this.#reportAll()
   }
 
@@ -160,6 +165,7 @@
     for (const incarnation of this.#incarnations) {
       incarnation.isPartitioned = false
       incarnation.fallSilent('both', 0)
+      incarnation.fallIll('failing', 0)
     }
   }
 
@@ -195,6 +201,7 @@
     if (random.next() < 0.03) for (const incarnation of this.#incarnations.slice(-1)) incarnation.isPartitioned = !incarnation.isPartitioned
     if (random.next() < 0.08) this.#relays.injectFault()
     if (random.isBelow(this.#variant.silenceChance)) this.#silenceWorker()
+    if (random.isBelow(this.#variant.illnessChance)) this.#findLatest(random.nextInt(WORKERS))?.fallIll(random.next() < 0.5 ? 'refusing' : 'failing', this.#draw(this.#variant.illnessMs))
     void this.#reportAll()
   }
 
@@ -204,9 +211,12 @@
   }
 
   #silenceWorker (): void {
-    const [minMs, maxMs] = this.#variant.silenceMs
     const worker = this.#findLatest(this.#random.nextInt(WORKERS))
-    worker?.fallSilent(this.#random.next() < 0.5 ? 'answers' : 'both', minMs + this.#random.next() * (maxMs - minMs))
+    worker?.fallSilent(this.#random.next() < 0.5 ? 'answers' : 'both', this.#draw(this.#variant.silenceMs))
+  }
+
+  #draw ([minMs, maxMs]: MillisRange): Millis {
+    return minMs + this.#random.next() * (maxMs - minMs)
   }
 
   #submit (): void {
@@ -215,6 +225,7 @@
     const first = this.#random.isBelow(this.#variant.gangShare) ? createStep({ ...task, isGang: true, count: 2 + this.#random.nextInt(MAX_GANG_SIZE - 1), cpu: task.cpu / 2 }) : task
     const isLasting = this.#random.isBelow(this.#variant.lastingShare)
     const steps = isLasting ? [createStep({ ...task, cpu: LASTING_CPU, maxPerWorker: 0, isLasting })] : [first, createStep({ after: [0], estimateMs: 200 })]
+    if (!isLasting && this.#random.isBelow(this.#variant.hopelessShare)) this.world.hopelessJobs?.add(id)
     if (isLasting) this.#lastingOracle.watch(Array.from({ length: task.count }, (_, i) => `${id}.0.0.${i}`))
     this.#steps.set(id, steps)
     if (this.#random.isBelow(this.#crashingShare)) this.world.crashingTasks.add(`${id}.0.0.${this.#random.nextInt(first.count)}`)
@@ -263,9 +274,9 @@
   }
 
   /** Restarts a worker some seconds after its crash, unless it was restarted before. */
-  #restartLater (worker: SimWorker, [minMs, maxMs]: MillisRange): void {
+  #restartLater (worker: SimWorker, range: MillisRange): void {
     const i = worker.born % WORKERS
-    void this.clock.sleep(minMs + this.#random.next() * (maxMs - minMs)).then(() => {
+    void this.clock.sleep(this.#draw(range)).then(() => {
       if (this.#findLatest(i) === worker) this.#startIncarnation(i)
     })
   }
--- a/src/batch/lostRuns/index.ts
+++ b/src/batch/lostRuns/index.ts
@@ -1,5 +1,6 @@
 /** Lists the runs that were lost with their workers, and what each loss tells about the runs. */
-import type { Clock } from '../../clock/index.js'
+import type { Clock, Millis } from '../../clock/index.js'
+import { MAX_IDLE_POLL_WAIT_MS, POLL_TIMEOUT_MS, SURVIVAL_MS } from '../../workers/constants.js'
 import type { WorkerRegistry } from '../../workers/registry/index.js'
 import type { WorkerSession } from '../../workers/session/index.js'
 import { judgeCrash, type CrashSuspicion, type SilentWorker } from '../judgeCrash/index.js'
@@ -8,6 +9,9 @@
 import { isSuspectTask } from '../trials/index.js'
 import { parseTask } from '../types.js'
 
+/** A worker counts as responsive for this long after an answer at most, and an answer may be that of a worker that has not yet survived a start. */
+const OUTLIVED_AFTER_MS: Millis = MAX_IDLE_POLL_WAIT_MS + POLL_TIMEOUT_MS + SURVIVAL_MS
+
 type Suspicions = ReadonlyMap<string, CrashSuspicion>
 
 /** Finds lost runs during one term. Each crash is judged once, when the first of its runs is listed. */
@@ -62,11 +66,19 @@
   }
 
   #findEvidence (session: WorkerSession, task: string, run: number, suspicions: Suspicions): CrashEvidence | null {
-    if (session.orders.hasSurvived(task, run)) return 'survived'
+    if (session.orders.hasSurvived(task, run) || this.#hasOutlived(session, task)) return 'survived'
     const suspicion = suspicions.get(task) ?? null
     return suspicion === 'sole' && !session.orders.wasRunningAtCrash(task, run, session.crashedBy) ? 'shared' : suspicion
   }
 
+  /** A worker gets work only while it answers, so that it has survived the runs that were placed some time before the latest one there. */
+  #hasOutlived ({ key }: WorkerSession, task: string): boolean {
+    const runs = this.#state.runsOn(key)
+    const placedAt = runs.get(task)?.placedAt ?? Number.POSITIVE_INFINITY
+    for (const other of runs.values()) if (other.placedAt - placedAt >= OUTLIVED_AFTER_MS) return true
+    return false
+  }
+
   #judge (session: WorkerSession): Suspicions {
     let suspicions = this.#suspicions.get(session)
     if (suspicions === undefined) {
@@ -81,7 +93,7 @@
     const known = this.#lostWorkers.get(session)
     if (known !== undefined) return known
     const silentSince = session.contact.silentSince ?? this.#clock.now()
-    const freshTasks = [...this.#state.runsOn(session.key)].filter(([task, { run }]) => !this.#isReported(session, task, run) && session.orders.isFresh(task, run, silentSince)).map(([task]) => task)
+    const freshTasks = [...this.#state.runsOn(session.key)].filter(([task, { run }]) => !this.#isReported(session, task, run) && session.orders.isFresh(task, run, silentSince) && !this.#hasOutlived(session, task)).map(([task]) => task)
     const described = { labels: session.record.labels, answeredAt: session.contact.answeredAt, silentSince, freshTasks, isTrial: this.#isTrial(freshTasks) }
     if (session.isLeaseExpired) this.#lostWorkers.set(session, described)
     return described
--- a/src/batch/lostRuns/test.ts
+++ b/src/batch/lostRuns/test.ts
@@ -60,6 +60,14 @@
     expect(evidence()).to.deep.equal({ [TASK]: 'shared' })
   })
 
+  it('clears the runs that an earlier leader had placed some time before its latest placement there, since the worker was alive then', () => {
+    const { apply, place, sessions, evidence } = createHarness(1)
+    place(TASK, 0)
+    apply({ type: 'place', at: 3000, placements: [{ task: `${OTHER}.0.0.0`, run: 1, worker: 'w0@1' }] })
+    sessions[0]?.orders.clear()
+    expect(evidence()).to.deep.equal({ [TASK]: 'survived', [`${OTHER}.0.0.0`]: 'shared' })
+  })
+
   for (const [when, crashedByMs, expected] of [['right after its start', MAX_CRASH_DELAY_MS, 'sole'], ['so long after its start that it may have ended before (LOST)', MAX_CRASH_DELAY_MS + 1, 'shared'], ['at an unknown time (LOST)', Number.POSITIVE_INFINITY, 'shared']] as const) {
     it(`suspects a run ${expected === 'sole' ? 'alone' : 'less'} whose worker crashed ${when}`, () => {
       const { clock, place, sessions, evidence } = createHarness(1)
