Log on what evidence a lost run was freed, and which incarnation has answered a start

The logs of that landing tell neither why the first run was freed nor which incarnation took its start, so that the three hypotheses of the postmortem can't be told apart.

Change: run.ended has the basis of each conclusion, run.unknown the incarnation that the run was placed on, session.opened the token and the lease that is waited for, and start.unattributed an answer whose clock reading does not go on from that of the incarnation that was called. Counters for lost runs by basis and for unknown runs. isRunOver returns the basis now and is called findLossBasis. No decision changes: the tests of both modules check the same cases against the basis instead of a boolean.

--- a/src/batch/lostRuns/index.ts
+++ b/src/batch/lostRuns/index.ts
@@ -1,6 +1,7 @@
 /** Lists the runs that were lost with their workers, and what each loss tells about the runs. */
 import type { Clock, Millis } from '../../clock/index.js'
 import { MAX_IDLE_POLL_WAIT_MS, POLL_TIMEOUT_MS, SURVIVAL_MS } from '../../workers/constants.js'
+import type { LossBasis } from '../../workers/findLossBasis/index.js'
 import type { WorkerRegistry } from '../../workers/registry/index.js'
 import type { WorkerSession } from '../../workers/session/index.js'
 import { judgeCrash, type CrashSuspicion, type SilentWorker } from '../judgeCrash/index.js'
@@ -21,6 +22,7 @@
   readonly #registry: WorkerRegistry
   readonly #lostWorkers = new WeakMap<WorkerSession, SilentWorker>()
   readonly #suspicions = new WeakMap<WorkerSession, Suspicions>()
+  readonly #bases = new WeakMap<RunEnd, LossBasis>()
   /** Runs whose ends are about to be committed. */
   #reported: ReadonlySet<string> = new Set()
 
@@ -51,6 +53,16 @@
     return ends
   }
 
+  /**
+   * Returns why a run can no longer be running.
+   *
+   * @param end - an end that was listed
+   * @returns undefined for an end that a worker has reported, or of a worker that was dismissed
+   */
+  basisOf (end: RunEnd): LossBasis | undefined {
+    return this.#bases.get(end)
+  }
+
   /** Lists the workers that were silent until their lease expired and answer again, so that they have not crashed. */
   listRevived (): WorkerRecord[] {
     const sessions = [...this.#state.data.unconfirmedCrashes.keys()].map((key) => this.#registry.sessionOf(key))
@@ -58,11 +70,15 @@
   }
 
   #listOf (session: WorkerSession): RunEnd[] {
-    const lost = this.#registry.listLostRuns(session).filter(([task, run]) => !this.#isReported(session, task, run))
+    const lost = this.#registry.listLostRuns(session).filter(({ task, run }) => !this.#isReported(session, task, run))
     if (lost.length === 0) return []
     const outcome = session.goneReason === null ? 'lapsed' : 'lost'
     const suspicions = this.#judge(session)
-    return lost.map(([task, run]) => ({ task, run, worker: session.key, outcome, checkpoint: session.orders.get(task)?.checkpoint ?? '', evidence: this.#findEvidence(session, task, run, suspicions), isCrashConfirmed: session.goneReason !== null }))
+    return lost.map(({ task, run, basis }) => {
+      const end: RunEnd = { task, run, worker: session.key, outcome, checkpoint: session.orders.get(task)?.checkpoint ?? '', evidence: this.#findEvidence(session, task, run, suspicions), isCrashConfirmed: session.goneReason !== null }
+      this.#bases.set(end, basis)
+      return end
+    })
   }
 
   #findEvidence (session: WorkerSession, task: string, run: number, suspicions: Suspicions): CrashEvidence | null {
--- a/src/batch/lostRuns/test.ts
+++ b/src/batch/lostRuns/test.ts
@@ -27,7 +27,7 @@
   const registry = {
     sessions,
     sessionOf: (key: string) => sessions.find((session) => session.key === key),
-    listLostRuns: ({ key }: { readonly key: string }) => [...state.runsOn(key)].map(([task, { run }]) => [task, run] as const)
+    listLostRuns: ({ key }: { readonly key: string }) => [...state.runsOn(key)].map(([task, { run }]) => ({ task, run, basis: 'leaseExpired' }))
   }
   const lostRuns = new LostRuns(clock, state, registry as unknown as WorkerRegistry)
   const place = (task: string, worker: number, order: Partial<ReturnType<typeof createRunOrder>> = {}): void => {
--- a/src/batch/runEndRecorder/index.ts
+++ b/src/batch/runEndRecorder/index.ts
@@ -86,14 +86,16 @@
   }
 
   #observe (end: RunEnd): void {
-    const { clock, log, state } = this.#context
+    const { clock, log, metrics, state } = this.#context
     const { task, run, worker, outcome, checkpoint } = end
     const effect = judgeEnd(state.data, end)
     if (effect !== 'recorded') {
       log.info('run.endedLate', { task, run, worker, outcome, effect })
       return
     }
-    if (outcome !== 'done') log.info('run.ended', { task, run, worker, outcome, evidence: end.evidence ?? undefined })
+    const basis = this.#lostRuns.basisOf(end)
+    if (basis !== undefined) metrics.count('oleanderward_lost_runs', { basis })
+    if (outcome !== 'done') log.info('run.ended', { task, run, worker, outcome, basis, evidence: end.evidence ?? undefined })
     const { job: id, occurrence, step: stepIndex } = parseTask(task) as TaskPosition
     const job = state.data.jobs.get(id) as JobRecord
     const active = state.runsOn(worker).get(task)
--- a/src/workers/constants.ts
+++ b/src/workers/constants.ts
@@ -1,5 +1,11 @@
 /** Leases, long polls and time-outs between the leader and the workers, in milliseconds. */
 
+/** Lowest rate of a worker's monotonic clock relative to real time. */
+export const SLOWEST_CLOCK_RATE = 0.98
+
+/** Allowance for late timers on the worker and on the leader. */
+export const CLOCK_MARGIN_MS = 60
+
 /**
  * Lease of the runs on a worker. It outlasts a change of leader: the new leader's first renewal comes about a second
  * after the loss of the old one. It is short because the tasks of a lost worker wait until the lease expires.
--- a/src/workers/isRunOver/index.ts
+++ b/src/workers/findLossBasis/index.ts
@@ -13,9 +13,10 @@
 
 /**
  * What the leader knows about the start of a run. `listed`: this incarnation has listed the run; `revoked`: this or the next
- * incarnation has shown that it has stopped the run, or never had it, and will never start it; `open`: neither is known.
+ * incarnation has confirmed that it has stopped the run and will never start it; `notListedNext`: the next one has not started it and will
+ * never do; `open`: none of these is known.
  */
-export type StartStatus = 'listed' | 'revoked' | 'open'
+export type StartStatus = 'listed' | 'revoked' | 'notListedNext' | 'open'
 
 /**
  * Returns what is known about the start of a run.
@@ -29,6 +30,13 @@
   return order.percent >= 0 ? 'listed' : 'open'
 }
 
+/**
+ * Why a run can no longer be running. `leaseExpired`: its worker has not answered until its lease expired; `workerGone`: the incarnation is gone
+ * and its id has not returned; `listed`: the incarnation had listed the run, which ended with it; `revoked`: the run was stopped before it could
+ * start again; `notListedNext`: the first list of the next incarnation doesn't have it; `waited`: no call that may start it can still arrive.
+ */
+export type LossBasis = 'leaseExpired' | 'workerGone' | 'listed' | 'revoked' | 'notListedNext' | 'waited'
+
 /** What is known about the incarnation that a run was placed on. */
 export interface PlacedIncarnation {
   /** Whether no run that the incarnation acknowledged can still be running: its lease has expired, or it is gone. */
@@ -42,13 +50,16 @@
 }
 
 /**
- * Decides whether a run can no longer be running.
+ * Finds the reason for which a run can no longer be running.
  *
  * @param incarnation - state of the incarnation that the run was placed on
  * @param start - what is known about the start; an answer to it alone doesn't tell which incarnation gave it
+ * @returns null while it may be running
  */
-export function isRunOver ({ isLeaseExpired, isGone, isReincarnated, goneForMs }: PlacedIncarnation, start: StartStatus): boolean {
-  if (!isLeaseExpired) return false
-  if (!isGone || !isReincarnated) return true
-  return start !== 'open' || goneForMs > MAX_REVOCATION_WAIT_MS
+export function findLossBasis ({ isLeaseExpired, isGone, isReincarnated, goneForMs }: PlacedIncarnation, start: StartStatus): LossBasis | null {
+  if (!isLeaseExpired) return null
+  if (!isGone) return 'leaseExpired'
+  if (!isReincarnated) return 'workerGone'
+  if (start !== 'open') return start
+  return goneForMs > MAX_REVOCATION_WAIT_MS ? 'waited' : null
 }
--- a/src/workers/leaseClock/index.ts
+++ b/src/workers/leaseClock/index.ts
@@ -1,11 +1,7 @@
 /** Computes when the lease of a worker's runs expires, on the worker's clock and on the leader's. */
 import type { Millis } from '../../clock/index.js'
-
-/** Lowest rate of a worker's monotonic clock relative to real time. */
-const SLOWEST_CLOCK_RATE = 0.98
-
-/** Allowance for late timers on the worker and on the leader. */
-const TIMER_MARGIN_MS: Millis = 60
+import type { ClockReading } from '../attributeAnswer/index.js'
+import { CLOCK_MARGIN_MS, SLOWEST_CLOCK_RATE } from '../constants.js'
 
 /** Estimates one worker's clock from the readings in its answers, and records the leases that the worker may hold. */
 export class LeaseClock {
@@ -23,7 +19,7 @@
    */
   constructor (leaseMs: Millis, now: Millis) {
     this.#leaseMs = leaseMs
-    this.#inheritedExpiresAt = now + leaseMs / SLOWEST_CLOCK_RATE + TIMER_MARGIN_MS
+    this.#inheritedExpiresAt = now + leaseMs / SLOWEST_CLOCK_RATE + CLOCK_MARGIN_MS
   }
 
   /**
@@ -44,6 +40,11 @@
     return this.#workerClockMs !== null
   }
 
+  /** The newest reading, or null before the first one. */
+  get reading (): ClockReading | null {
+    return this.#workerClockMs === null ? null : { workerClockMs: this.#workerClockMs, observedAt: this.#observedAt }
+  }
+
   /**
    * Estimates the worker's clock.
    *
@@ -70,6 +71,6 @@
   /** When every lease that may have been granted has expired, on the leader's clock. */
   get expiresAt (): Millis {
     if (this.#workerClockMs === null) return this.#inheritedExpiresAt
-    return this.#observedAt + (this.#latestExpiryMs - this.#workerClockMs) / SLOWEST_CLOCK_RATE + TIMER_MARGIN_MS
+    return this.#observedAt + (this.#latestExpiryMs - this.#workerClockMs) / SLOWEST_CLOCK_RATE + CLOCK_MARGIN_MS
   }
 }
--- a/src/workers/lostRunFinder/index.ts
+++ b/src/workers/lostRunFinder/index.ts
@@ -1,8 +1,15 @@
 /** Finds the runs of workers that can no longer be running. */
 import type { TermContext } from '../../batch/leader/context.js'
-import { isRunOver, startStatusOf } from '../isRunOver/index.js'
+import { findLossBasis, startStatusOf, type LossBasis } from '../findLossBasis/index.js'
 import type { WorkerSession } from '../session/index.js'
 
+/** A run that can no longer be running. */
+export interface LostRun {
+  readonly task: string
+  readonly run: number
+  readonly basis: LossBasis
+}
+
 /** Revokes the starts that gone incarnations never answered, and lists the runs that are over. */
 export class LostRunFinder {
   readonly #context: TermContext
@@ -28,13 +35,14 @@
    *
    * @param session - a worker whose lease has expired
    */
-  list (session: WorkerSession): Array<readonly [task: string, run: number]> {
+  list (session: WorkerSession): LostRun[] {
     const next = this.#findNextIncarnation(session)
-    const lost: Array<readonly [string, number]> = []
+    const lost: LostRun[] = []
     for (const [task, { run }] of this.#context.state.runsOn(session.key)) {
       const incarnation = { isLeaseExpired: session.isLeaseExpired, isGone: session.goneReason !== null, isReincarnated: session.isReincarnated || next !== undefined, goneForMs: session.goneForMs }
-      const start = next !== undefined && next.token > session.token && next.poller.excludesEarlier(task, run) ? 'revoked' : startStatusOf(session.orders.get(task), run)
-      if (isRunOver(incarnation, start)) lost.push([task, run])
+      const start = next !== undefined && next.token > session.token && next.poller.excludesEarlier(task, run) ? 'notListedNext' : startStatusOf(session.orders.get(task), run)
+      const basis = findLossBasis(incarnation, start)
+      if (basis !== null) lost.push({ task, run, basis })
       else if (incarnation.isGone && next !== undefined) this.#revokeAtNextIncarnation(session, next, task, run)
     }
     return lost
@@ -54,6 +62,7 @@
     void next.revoke(task, run).then((isRevoked) => {
       this.#revoking.delete(key)
       if (!isRevoked) return
+      this.#context.log.info('run.revoked', { task, run, worker: session.key, by: next.key })
       session.orders.ensure(task, run, this.#context.clock.now()).phase = 'barred'
       this.#onChange()
     })
--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -8,7 +8,7 @@
 import { Cordons } from '../cordons/index.js'
 import { computeIdlePollWait } from '../idlePollWait/index.js'
 import { computeInheritedLease } from '../inheritedLease/index.js'
-import { LostRunFinder } from '../lostRunFinder/index.js'
+import { LostRunFinder, type LostRun } from '../lostRunFinder/index.js'
 import { PollGate } from '../pollGate/index.js'
 import { StartAdmission } from '../startAdmission/index.js'
 import { hasLessCapacity, isSameRecord, toRecord } from '../workerRecord/index.js'
@@ -234,7 +234,7 @@
    *
    * @param session - a worker whose lease has expired
    */
-  listLostRuns (session: WorkerSession): Array<readonly [task: string, run: number]> {
+  listLostRuns (session: WorkerSession): LostRun[] {
     return this.#lostRunFinder.list(session)
   }
 
@@ -285,12 +285,15 @@
   #openSession (record: WorkerRecord): void {
     const { clock, log, metrics, term, mayOrder, state } = this.#context
     const key = workerKey(record)
+    const restarts = countRestarts(state.data, record)
+    const inheritedLeaseMs = computeInheritedLease(state.data, record, clock.wall(), this.#connector.maxLeaseMs)
+    log.info('session.opened', { worker: key, token: term + restarts, restarts, inheritedLeaseMs })
     const sessionContext: WorkerSessionContext = {
       clock,
       log,
       metrics,
-      token: term + countRestarts(state.data, record),
-      inheritedLeaseMs: computeInheritedLease(state.data, record, clock.wall(), this.#connector.maxLeaseMs),
+      token: term + restarts,
+      inheritedLeaseMs,
       mayOrder,
       runsOn: (worker) => state.runsOn(worker),
       findObstacle: (task, run) => this.#admission.findObstacle(session, task, run),
--- a/src/workers/registry/test.ts
+++ b/src/workers/registry/test.ts
@@ -134,7 +134,7 @@
     await clock.advance(100)
     expect(registry.listLostRuns(session)).to.deep.equal([])
     await clock.advance(100)
-    expect(registry.listLostRuns(session)).to.deep.equal([[task, 1]])
+    expect(registry.listLostRuns(session)).to.deep.equal([{ task, run: 1, basis: 'revoked' }])
     expect(session.orders.get(task)).to.include({ phase: 'barred', runningSinceMs: null })
     expect(session.orders.get(task)?.sentAt).to.be.below(clock.now())
     expect(session.orders.get(task)?.sentAt).to.be.above(0)
@@ -148,7 +148,7 @@
     const { isDraining: _, ...record } = createWorker('w0', { born: 2 })
     await registry.report({ ...record, id: 'w0', state: 'ready', drainLeftMs: null, sequence: 1 })
     await clock.advance(100)
-    expect(registry.listLostRuns(session)).to.deep.equal([[`${JOB}.0.0.0`, 1]])
+    expect(registry.listLostRuns(session)).to.deep.equal([{ task: `${JOB}.0.0.0`, run: 1, basis: 'notListedNext' }])
     stop()
   })
 
@@ -174,7 +174,7 @@
     const session = registry.sessionOf('w0@1') as WorkerSession
     expect(session).to.include({ isLive: false, isLeaseExpired: false })
     await clock.advance(LEASE_MS + 200)
-    expect(registry.listLostRuns(session)).to.deep.equal([[`${JOB}.0.0.0`, 1]])
+    expect(registry.listLostRuns(session)).to.deep.equal([{ task: `${JOB}.0.0.0`, run: 1, basis: 'leaseExpired' }])
     stop()
   })
 
--- a/src/workers/runControl/index.ts
+++ b/src/workers/runControl/index.ts
@@ -1,5 +1,6 @@
 /** Sends the leader's orders for the runs on one worker: starts, stops and paces. */
 import type { Millis } from '../../clock/index.js'
+import { attributeAnswer, type AnswerSource, type ClockReading } from '../attributeAnswer/index.js'
 import { ORDER_TIMEOUT_MS } from '../constants.js'
 import type { RunOrder, RunOrders } from '../runOrder/index.js'
 import type { StartOrder, WorkerSessionContext } from '../session/types.js'
@@ -8,6 +9,8 @@
 /** Receives what the answers to the orders tell about the worker. */
 export interface OrderListener {
   readonly onAnswer: (answer: OrderAnswer) => void
+  /** Returns the newest reading of the worker's clock. */
+  readonly readClock: () => ClockReading | null
   /** Called when the worker has refused a start and will not carry it out. */
   readonly onStartRefused: (task: string, run: number) => void
   /** Called when another worker answers at the address. */
@@ -49,10 +52,12 @@
   async start (startOrder: StartOrder, order: RunOrder, grantLease: (now: Millis) => Millis): Promise<void> {
     const { clock, token } = this.#context
     const { isTrial: _, ...runStart } = startOrder
+    const reading = this.#listener.readClock()
     order.sentAt = clock.now()
     try {
       const answer = await this.#calls.start({ ...runStart, token, leaseEndMs: grantLease(order.sentAt) }, ORDER_TIMEOUT_MS)
       order.settledAt = clock.now()
+      this.#logSource(startOrder, answer, attributeAnswer(answer.clockMs, reading, order.sentAt), reading)
       this.#listener.onAnswer(answer)
       if (answer.refusal === null) {
         order.phase = 'started'
@@ -67,6 +72,11 @@
     }
   }
 
+  #logSource ({ task, run }: StartOrder, { clockMs, refusal }: OrderAnswer, source: AnswerSource, reading: ClockReading | null): void {
+    if (source === 'same') return
+    this.#context.log.info('start.unattributed', { task, run, worker: this.#worker, source, refusal, clockMs, lastClockMs: reading?.workerClockMs ?? null })
+  }
+
   #onStartRefused ({ task, run }: StartOrder, order: RunOrder, refusal: OrderRefusal): void {
     this.#context.log.info('start.refused', { task, run, worker: this.#worker, reason: refusal })
     if (refusal === 'stale') {
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -62,6 +62,7 @@
     this.#wakeNotifier = new Notifier(context.clock)
     this.#control = new RunControl(key, this.orders, calls, context, {
       onAnswer: (answer) => { this.#observeClock(answer) },
+      readClock: () => this.#lease.reading,
       onStartRefused: (task, run) => { this.#recordEnd(task, run, 'refused', '') },
       onWrongWorker: () => { this.markGone(WRONG_WORKER) }
     })
@@ -295,9 +296,11 @@
   }
 
   #stopUnknownRun (reportedRun: RunningTask): void {
-    this.#context.log.info('run.unknown', { task: reportedRun.task, run: reportedRun.run, worker: this.key })
+    const { task, run, percent } = reportedRun
+    this.#context.metrics.count('oleanderward_unknown_runs')
+    this.#context.log.info('run.unknown', { task, run, worker: this.key, percent, placedOn: this.#context.earlierIncarnationWith(task, run) })
     // The worker lists the run again in its next answer if it is not stopped, and the stop is repeated.
-    void this.#control.revoke(reportedRun.task, reportedRun.run)
+    void this.#control.revoke(task, run)
   }
 
   /** Revokes a run that the worker doesn't list, because its start may still arrive; records it as lost once revoked. */
