--- a/src/workers/doubtfulWorkers/test.ts
+++ b/src/workers/doubtfulWorkers/test.ts
@@ -5,7 +5,8 @@
 import { BatchState } from '../../batch/state/index.js'
 import type { BatchCommand, WorkerRecord } from '../../batch/state/records.js'
 import { ManualClock } from '../../clock/index.js'
-import { MAX_WORKER_LEASE_MS } from '../constants.js'
+import { itKnownFailure } from '../../knownFailures/index.js'
+import { MAX_LATE_CALL_MS, MAX_WORKER_LEASE_MS } from '../constants.js'
 import { WorkerRegistry } from '../registry/index.js'
 import type { WorkerSession } from '../session/index.js'
 import type { WorkerCalls, WorkerPollRequest } from '../types.js'
@@ -14,9 +15,12 @@
 const TASK = `${JOB}.0.0.0`
 const RUNNING = { task: TASK, run: 1, checkpoint: '', percent: 10, load: null }
 const ANSWER_MS = 5
+const STOP_GRACE_MS = 900
+/** Reading of the clock of the first incarnation when the test begins. */
+const UPTIME_MS = 500_000
 
-/** A term of a leader that takes over a state in which a run is placed on one of the workers. */
-function createTerm (workers: readonly WorkerRecord[], runOn: string, connect: (record: WorkerRecord, clock: ManualClock) => Partial<WorkerCalls>, restartedAgoMs = 0) {
+/** A term of a leader that takes over a state in which a run is placed on one of the workers, or none yet. */
+function createTerm (workers: readonly WorkerRecord[], runOn: string | null, connect: (record: WorkerRecord, clock: ManualClock) => Partial<WorkerCalls>, restartedAgoMs = 0) {
   const clock = new ManualClock()
   const state = new BatchState()
   const end = new AbortController()
@@ -24,8 +28,13 @@
   const context = createTermContext(clock, state, { term: 2, signal: end.signal })
   for (const worker of workers) apply({ type: 'enrol', at: clock.wall() - restartedAgoMs, workers: [worker] })
   apply({ type: 'accept', at: 0, jobs: [createJob(JOB, { steps: [createStep()] })] })
-  apply({ type: 'place', at: clock.wall() - restartedAgoMs, placements: [{ task: TASK, run: 1, worker: runOn }] })
+  const place = (worker: string, at: number): unknown => apply({ type: 'place', at, placements: [{ task: TASK, run: 1, worker }] })
+  if (runOn !== null) place(runOn, clock.wall() - restartedAgoMs)
   const registry = new WorkerRegistry(context, { connect: (record) => ({ close: () => {}, ...connect(record, clock) }) as WorkerCalls, countCallers: () => 4, maxLeaseMs: MAX_WORKER_LEASE_MS }, () => {})
+  const start = (worker: string): void => {
+    place(worker, clock.wall())
+    void sessionOf(worker).start({ task: TASK, run: 1, payload: '', checkpoint: '', ticket: null, isTrial: false })
+  }
   const sessionOf = (key: string): WorkerSession => registry.sessionOf(key) as WorkerSession
   /** Returns how long it takes until the run is listed as lost, or null when it is not within a time. */
   const waitForLoss = async (key: string, maxMs: number): Promise<number | null> => {
@@ -35,7 +44,7 @@
     }
     return null
   }
-  return { clock, registry, sessionOf, waitForLoss, stop: () => { end.abort(); registry.end() } }
+  return { clock, registry, sessionOf, start, waitForLoss, stop: () => { end.abort(); registry.end() } }
 }
 
 describe('runs of workers whose incarnation or end is in doubt', () => {
@@ -65,6 +74,31 @@
     stop()
   })
 
+  itKnownFailure('frees no run that the next incarnation goes on with after it has confirmed the stop (TWICE)', async () => {
+    let stoppedAt = Number.POSITIVE_INFINITY
+    const { clock, registry, waitForLoss, stop } = createTerm([createWorker('w', { born: 1 }), createWorker('w', { born: 2 })], 'w@1', (_record, clock) => ({
+      poll: async (req: WorkerPollRequest) => {
+        await clock.sleep(ANSWER_MS)
+        const isEnded = clock.now() - stoppedAt >= STOP_GRACE_MS
+        if (!isEnded) await clock.sleep(Math.min(req.waitMs, STOP_GRACE_MS))
+        const ended = [{ seq: 1, task: TASK, run: 1, outcome: 'stopped' as const, checkpoint: '' }]
+        return { refusal: null, clockMs: clock.now(), born: 2, running: isEnded ? [] : [RUNNING], ended: isEnded ? ended : [], hasMoreEnds: false }
+      },
+      stop: async () => {
+        await clock.sleep(ANSWER_MS)
+        stoppedAt = Math.min(stoppedAt, clock.now())
+        return { refusal: null, clockMs: clock.now() }
+      }
+    }))
+    await clock.advance(100)
+    expect(stoppedAt).to.be.below(clock.now())
+    expect(await waitForLoss('w@1', STOP_GRACE_MS - 100)).to.equal(null)
+    await clock.advance(STOP_GRACE_MS)
+    const ends = [...registry.takeSessionsWithEnds()].flatMap((session) => session.takeRunEnds().ends)
+    expect(ends).to.deep.include({ task: TASK, run: 1, worker: 'w@1', outcome: 'stopped', checkpoint: '' })
+    stop()
+  })
+
   // Such a worker was taken to hold the longest lease, although it had been called for hours.
   it('frees the runs of a silent worker that restarted long ago after a lease', async () => {
     let isUp = true
@@ -97,6 +131,72 @@
     stop()
   })
 
+  /** A worker that has answered once, after which it takes a start and is silent. */
+  const createCutOffWorker = (startClockMs: (now: number) => number | null) => createTerm([createWorker('w')], null, (_record, clock) => {
+    let isFirst = true
+    return {
+      poll: async (_req: WorkerPollRequest, timeoutMs: number) => {
+        await clock.sleep(isFirst ? ANSWER_MS : timeoutMs)
+        if (!isFirst) throw new Error('no answer')
+        isFirst = false
+        return { refusal: null, clockMs: UPTIME_MS + clock.now(), born: 1, running: [], ended: [], hasMoreEnds: false }
+      },
+      start: async (_req, timeoutMs) => {
+        const clockMs = startClockMs(clock.now())
+        await clock.sleep(clockMs === null ? timeoutMs : ANSWER_MS)
+        if (clockMs === null) throw new Error('no answer')
+        return { refusal: null, clockMs }
+      }
+    }
+  })
+
+  itKnownFailure('waits for the longest lease when a next incarnation that nobody has heard of may have taken the start (TWICE)', async () => {
+    const { clock, start, waitForLoss, stop } = createCutOffWorker(() => null)
+    await clock.advance(100)
+    start('w@1')
+    expect(await waitForLoss('w@1', 30_000)).to.be.within(MAX_WORKER_LEASE_MS, MAX_WORKER_LEASE_MS + 2000)
+    stop()
+  })
+
+  itKnownFailure('takes an answer to a start whose clock has begun anew for that of the next incarnation (TWICE)', async () => {
+    const { clock, start, waitForLoss, sessionOf, stop } = createCutOffWorker(() => 300)
+    await clock.advance(100)
+    start('w@1')
+    await clock.advance(100)
+    expect(sessionOf('w@1')).to.include({ isReincarnated: true, isLive: false })
+    expect(await waitForLoss('w@1', 30_000)).to.be.above(MAX_WORKER_LEASE_MS)
+    stop()
+  })
+
+  it('frees the run of a silent worker after a lease when the worker itself has answered the start', async () => {
+    const { clock, start, waitForLoss, stop } = createCutOffWorker((now) => UPTIME_MS + now)
+    await clock.advance(100)
+    start('w@1')
+    expect(await waitForLoss('w@1', 20_000)).to.be.within(2000, 4000)
+    stop()
+  })
+
+  itKnownFailure('waits for the longest lease of a worker that was lost with the leader that had just placed the run there (TWICE)', async () => {
+    const silent = async (_req: unknown, timeoutMs: number, clock: ManualClock): Promise<never> => {
+      await clock.sleep(timeoutMs)
+      throw new Error('no answer')
+    }
+    const { waitForLoss, stop } = createTerm([createWorker('w')], 'w@1', (_record, clock) => ({ poll: (req, timeoutMs) => silent(req, timeoutMs, clock) }), 2000)
+    expect(await waitForLoss('w@1', 30_000)).to.be.above(MAX_WORKER_LEASE_MS - 2000)
+    stop()
+  })
+
+  itKnownFailure('waits for a late call and the lease that it grants while the next incarnation has never answered (TWICE)', async () => {
+    const { waitForLoss, stop } = createTerm([createWorker('w', { born: 1 }), createWorker('w', { born: 2 })], 'w@1', (_record, clock) => ({
+      poll: async (_req: WorkerPollRequest, timeoutMs: number) => {
+        await clock.sleep(timeoutMs)
+        throw new Error('no answer')
+      }
+    }))
+    expect(await waitForLoss('w@1', 30_000)).to.be.above(MAX_LATE_CALL_MS + MAX_WORKER_LEASE_MS)
+    stop()
+  })
+
   // The numbers of ends begin anew with each incarnation, which may answer the calls that are meant for the last one.
   it('acknowledges no ends to the next incarnation that only the earlier one has listed (TWICE)', async () => {
     let born = 1
