--- a/src/workers/doubtfulWorkers/test.ts
+++ b/src/workers/doubtfulWorkers/test.ts
@@ -74,7 +74,7 @@
     stop()
   })
 
-  itKnownFailure('frees no run that the next incarnation goes on with after it has confirmed the stop (TWICE)', async () => {
+  it('frees no run that the next incarnation goes on with after it has confirmed the stop (TWICE)', async () => {
     let stoppedAt = Number.POSITIVE_INFINITY
     const { clock, registry, waitForLoss, stop } = createTerm([createWorker('w', { born: 1 }), createWorker('w', { born: 2 })], 'w@1', (_record, clock) => ({
       poll: async (req: WorkerPollRequest) => {
--- a/src/workers/findLossBasis/index.ts
+++ b/src/workers/findLossBasis/index.ts
@@ -2,40 +2,38 @@
  * Decides when a run that was placed on a worker can no longer be running, so that its task may start elsewhere.
  *
  * Handles workers that restart under the same id: a start that the earlier incarnation never answered may have reached
- * the next incarnation, whose clock and lease are independent of the earlier ones.
+ * the next incarnation, whose clock and lease are independent of the earlier ones, and which takes a while to stop the run.
  */
 import type { Millis } from '../../clock/index.js'
 import { MAX_LATE_CALL_MS } from '../constants.js'
 import type { RunOrder } from '../runOrder/index.js'
 
-/** Maximum wait for a next incarnation to revoke a run while it can't be reached. */
-const MAX_REVOCATION_WAIT_MS: Millis = MAX_LATE_CALL_MS
+/** Maximum wait for the lists of a next incarnation that can't be reached. */
+const MAX_LIST_WAIT_MS: Millis = MAX_LATE_CALL_MS
 
 /**
- * What the leader knows about the start of a run. `listed`: this incarnation has listed the run; `revoked`: this or the next
- * incarnation has confirmed that it has stopped the run and will never start it; `notListedNext`: the next one has not started it and will
- * never do; `open`: none of these is known.
+ * What the leader knows about the start of a run. `listed`: the incarnation that it was placed on has listed the run; `notListedNext`: the next one
+ * doesn't run it and never will; `open`: neither is known. A confirmed stop is not enough: it doesn't tell which incarnation has confirmed it, and
+ * the run may go on for the stop grace.
  */
-export type StartStatus = 'listed' | 'revoked' | 'notListedNext' | 'open'
+export type StartStatus = 'listed' | 'notListedNext' | 'open'
 
 /**
- * Returns what is known about the start of a run.
+ * Returns what the incarnation that a run was placed on has told about it.
  *
  * @param order - the leader's record of the task on that worker, if any
  * @param run - number of the run
  */
 export function startStatusOf (order: RunOrder | undefined, run: number): StartStatus {
-  if (order === undefined || order.run !== run) return 'open'
-  if (order.phase === 'barred') return 'revoked'
-  return order.percent >= 0 ? 'listed' : 'open'
+  return order?.run === run && order.percent >= 0 ? 'listed' : 'open'
 }
 
 /**
  * Why a run can no longer be running. `leaseExpired`: its worker has not answered until its lease expired; `workerGone`: the incarnation is gone
- * and its id has not returned; `listed`: the incarnation had listed the run, which ended with it; `revoked`: the run was stopped before it could
- * start again; `notListedNext`: the first list of the next incarnation doesn't have it; `waited`: no call that may start it can still arrive.
+ * and its id has not returned; `listed`: the incarnation had listed the run, which ended with it; `notListedNext`: the next incarnation doesn't
+ * list it; `waited`: no call that may start it can still arrive.
  */
-export type LossBasis = 'leaseExpired' | 'workerGone' | 'listed' | 'revoked' | 'notListedNext' | 'waited'
+export type LossBasis = 'leaseExpired' | 'workerGone' | 'listed' | 'notListedNext' | 'waited'
 
 /** What is known about the incarnation that a run was placed on. */
 export interface PlacedIncarnation {
@@ -61,5 +59,5 @@
   if (!isGone) return 'leaseExpired'
   if (!isReincarnated) return 'workerGone'
   if (start !== 'open') return start
-  return goneForMs > MAX_REVOCATION_WAIT_MS ? 'waited' : null
+  return goneForMs > MAX_LIST_WAIT_MS ? 'waited' : null
 }
--- a/src/workers/findLossBasis/test.ts
+++ b/src/workers/findLossBasis/test.ts
@@ -14,9 +14,9 @@
     expect(findLossBasis(REINCARNATED, 'listed')).to.equal('listed')
   })
 
-  it('keeps a run that a gone incarnation never listed until the next incarnation has revoked it', () => {
+  it('keeps a run that a gone incarnation never listed until the next incarnation does not list it', () => {
     expect(findLossBasis(REINCARNATED, 'open')).to.equal(null)
-    expect(findLossBasis(REINCARNATED, 'revoked')).to.equal('revoked')
+    expect(findLossBasis(REINCARNATED, 'notListedNext')).to.equal('notListedNext')
   })
 
   it('waits no longer than the longest lease for a next incarnation that cannot be reached', () => {
--- a/src/workers/poller/index.ts
+++ b/src/workers/poller/index.ts
@@ -27,8 +27,8 @@
   readonly #crashWindow: CrashWindow
   /** Reading of the worker's clock in the newest answer. */
   #newestAnswerMs: Millis = Number.NEGATIVE_INFINITY
-  /** Runs in the first answer, as `task#run`; null before, and when it did not list all ends. */
-  #firstListed: ReadonlySet<string> | null = null
+  /** Lists in the newest answer; null before the first one. */
+  #newestLists: WorkerRuns | null = null
 
   /**
    * @param calls - client of the worker
@@ -48,14 +48,18 @@
   }
 
   /**
-   * Returns whether a run that was placed on an earlier incarnation never started here and never will. Since its first answer the worker
-   * refuses late calls to the earlier incarnation, because it has seen a higher token.
+   * Returns whether a run that was placed on an earlier incarnation is not running here and never will. Since its first answer the worker
+   * refuses late calls to the earlier incarnation, because it has seen a higher token. A run that it lists is not excluded by a confirmed stop,
+   * since it may go on for the stop grace, but by a later list.
    *
    * @param task - name of the task
    * @param run - number of the run
    */
   excludesEarlier (task: string, run: number): boolean {
-    return this.#firstListed?.has(formatRun(task, run)) === false
+    if (this.#newestLists === null || this.#newestLists.hasMoreEnds) return false
+    const { running, ended } = this.#newestLists
+    const isSame = (listed: { readonly task: string, readonly run: number }): boolean => listed.task === task && listed.run === run
+    return !running.some(isSame) && !ended.some(isSame)
   }
 
   /**
@@ -79,11 +83,7 @@
     if (answer.refusal !== null) throw new Error(`the worker refused the long poll: ${answer.refusal}`)
     if (answer.clockMs < this.#newestAnswerMs) return { kind: 'overtaken' }
     this.#newestAnswerMs = answer.clockMs
-    if (!answer.hasMoreEnds) this.#firstListed ??= new Set([...answer.running, ...answer.ended].map(({ task, run }) => formatRun(task, run)))
+    this.#newestLists = answer
     return { kind: 'listed', runs: { ...answer, sentAt } }
   }
 }
-
-function formatRun (task: string, run: number): string {
-  return `${task}#${run}`
-}
--- a/src/workers/poller/test.ts
+++ b/src/workers/poller/test.ts
@@ -49,7 +49,7 @@
     await pending
   })
 
-  it('excludes the runs of earlier incarnations that its first complete answer does not list', async () => {
+  it('excludes the runs of earlier incarnations that its newest answer does not list, once it lists all ends', async () => {
     const { answers, poller } = createHarness()
     const [late, other] = ['00000000000000aa.0.0.0', '00000000000000aa.0.0.1'] as const
     const first = poller.poll(REQUEST)
@@ -60,5 +60,13 @@
     answers[1]?.({ ...listedAt(2), running: [{ task: late, run: 1, checkpoint: '', percent: 0, load: null }] } as WorkerPollAnswer)
     await second
     expect([late, other].map((task) => poller.excludesEarlier(task, 1))).to.deep.equal([false, true])
+    const third = poller.poll(REQUEST)
+    answers[2]?.({ ...listedAt(3), ended: [{ seq: 1, task: late, run: 1, outcome: 'stopped', checkpoint: '' }] } as WorkerPollAnswer)
+    await third
+    expect(poller.excludesEarlier(late, 1)).to.equal(false)
+    const fourth = poller.poll(REQUEST)
+    answers[3]?.(listedAt(4))
+    await fourth
+    expect([late, other].map((task) => poller.excludesEarlier(task, 1))).to.deep.equal([true, true])
   })
 })
--- a/src/workers/registry/test.ts
+++ b/src/workers/registry/test.ts
@@ -4,7 +4,7 @@
 import { BatchState } from '../../batch/state/index.js'
 import type { BatchCommand } from '../../batch/state/records.js'
 import { ManualClock } from '../../clock/index.js'
-import { IMMEDIATE_POLLS_PER_CALLER, LEASE_MS, MAX_WORKER_LEASE_MS } from '../constants.js'
+import { IMMEDIATE_POLLS_PER_CALLER, LEASE_MS, MAX_WORKER_LEASE_MS, POLL_WAIT_MS } from '../constants.js'
 import type { WorkerCalls, WorkerPollRequest } from '../types.js'
 import type { WorkerSession } from '../session/index.js'
 import { WorkerRegistry } from './index.js'
@@ -14,14 +14,15 @@
 const ANSWER_MS = 5
 
 /**
- * Workers of a state that a new leader takes over. Starts and stops get no answer, if `areStopsLost`; workers that have restarted list the first
- * task of the job, if `hasLateRun`, since a late start has reached them.
+ * Workers of a state that a new leader takes over. Starts get no answer, and stops neither, if `areStopsLost`; workers that have restarted list the
+ * first task of the job until it is stopped, if `hasLateRun`, since a late start has reached them.
  */
 function createHarness (workerCount: number, busyWorkers: readonly string[] = [], silentWorkers: readonly string[] = [], { hasLateRun = false, areStopsLost = false } = {}) {
   const clock = new ManualClock()
   const state = new BatchState()
   const end = new AbortController()
   const polls: Array<{ readonly id: string, readonly at: number } & WorkerPollRequest> = []
+  let isLateRunStopped = false
   let immediateInFlight = 0
   let maxImmediateInFlight = 0
   const apply = (command: unknown): unknown => state.apply(0, command as BatchCommand)
@@ -37,12 +38,13 @@
       await clock.sleep(isSilent ? timeoutMs : ANSWER_MS + req.waitMs)
       if (req.waitMs === 0) immediateInFlight -= 1
       if (isSilent) throw new Error('no answer')
-      const task = born > 1 ? (hasLateRun ? 0 : -1) : busyWorkers.indexOf(id)
+      const task = born > 1 ? (hasLateRun && !isLateRunStopped ? 0 : -1) : busyWorkers.indexOf(id)
       return { refusal: null, clockMs: clock.now(), born, running: task < 0 ? [] : [{ task: `${JOB}.0.0.${task}`, run: 1, checkpoint: '', percent: 10, load: null }], ended: [], hasMoreEnds: false }
     },
     start: async () => { throw new Error('no answer') },
     stop: async () => {
       if (areStopsLost) throw new Error('no answer')
+      isLateRunStopped = true
       return { refusal: null, clockMs: clock.now() }
     },
     close: () => {}
@@ -122,7 +124,7 @@
     stop()
   })
 
-  it('remembers that a start was never answered once the next incarnation has revoked it (LOST, a job was failed after one crash)', async () => {
+  it('remembers that a start was never answered once the next incarnation has stopped it (LOST, a job was failed after one crash)', async () => {
     const { clock, registry, apply, stop } = createHarness(1, [], [], { hasLateRun: true })
     await clock.advance(100)
     const task = `${JOB}.0.0.0`
@@ -131,11 +133,11 @@
     await session.start({ task, run: 1, payload: '', checkpoint: '', ticket: null, isTrial: false })
     const { isDraining: _, ...record } = createWorker('w0', { born: 2 })
     await registry.report({ ...record, state: 'ready', drainLeftMs: null, sequence: 1 })
-    await clock.advance(100)
+    await clock.advance(ANSWER_MS + 1)
     expect(registry.listLostRuns(session)).to.deep.equal([])
-    await clock.advance(100)
-    expect(registry.listLostRuns(session)).to.deep.equal([{ task, run: 1, basis: 'revoked' }])
-    expect(session.orders.get(task)).to.include({ phase: 'barred', runningSinceMs: null })
+    await clock.advance(POLL_WAIT_MS + 100)
+    expect(registry.listLostRuns(session)).to.deep.equal([{ task, run: 1, basis: 'notListedNext' }])
+    expect(session.orders.get(task)).to.include({ phase: 'unclear', runningSinceMs: null })
     expect(session.orders.get(task)?.sentAt).to.be.below(clock.now())
     expect(session.orders.get(task)?.sentAt).to.be.above(0)
     stop()
--- a/src/workers/runControl/index.ts
+++ b/src/workers/runControl/index.ts
@@ -116,19 +116,18 @@
   }
 
   /**
-   * Stops a run that is not recorded here, or whose start was sent to an earlier incarnation.
+   * Stops a run that is not recorded here. Its end is listed later, or the run is listed again and the stop repeated.
    *
    * @param task - name of the task
    * @param run - number of the run
-   * @returns whether the worker has confirmed that the run is stopped and will never start
    */
-  async revoke (task: string, run: number): Promise<boolean> {
-    if (!this.#context.mayOrder()) return false
+  async stopUnknown (task: string, run: number): Promise<void> {
+    if (!this.#context.mayOrder()) return
     try {
-      return (await this.#calls.stop({ token: this.#context.token, task, run }, ORDER_TIMEOUT_MS)).refusal === null
+      const { refusal } = await this.#calls.stop({ token: this.#context.token, task, run }, ORDER_TIMEOUT_MS)
+      this.#context.log.info('run.unknownStopped', { task, run, worker: this.#worker, refusal })
     } catch (err) {
       this.#logUnclearStop(task, run, err as Error)
-      return false
     }
   }
 
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -124,17 +124,6 @@
     return Math.min(this.poller.crashedBy, this.#goneAt)
   }
 
-  /**
-   * Revokes a run whose start may have reached this incarnation although it was sent to an earlier one.
-   *
-   * @param task - name of the task
-   * @param run - number of the run
-   * @returns whether the worker has confirmed that the run is stopped and will never start
-   */
-  async revoke (task: string, run: number): Promise<boolean> {
-    return this.isLive && await this.#control.revoke(task, run)
-  }
-
   /** Removes and returns the run ends to commit, and the sequence number to acknowledge once they are committed. */
   takeRunEnds (): CollectedRunEnds {
     return this.#runEnds.take()
@@ -300,7 +289,7 @@
     this.#context.metrics.count('oleanderward_unknown_runs')
     this.#context.log.info('run.unknown', { task, run, worker: this.key, percent, placedOn: this.#context.earlierIncarnationWith(task, run) })
     // The worker lists the run again in its next answer if it is not stopped, and the stop is repeated.
-    void this.#control.revoke(task, run)
+    void this.#control.stopUnknown(task, run)
   }
 
   /** Revokes a run that the worker doesn't list, because its start may still arrive; records it as lost once revoked. */
