--- a/src/workers/doubtfulWorkers/test.ts
+++ b/src/workers/doubtfulWorkers/test.ts
@@ -186,7 +186,7 @@
     stop()
   })
 
-  itKnownFailure('waits for a late call and the lease that it grants while the next incarnation has never answered (TWICE)', async () => {
+  it('waits for a late call and the lease that it grants while the next incarnation has never answered (TWICE)', async () => {
     const { waitForLoss, stop } = createTerm([createWorker('w', { born: 1 }), createWorker('w', { born: 2 })], 'w@1', (_record, clock) => ({
       poll: async (_req: WorkerPollRequest, timeoutMs: number) => {
         await clock.sleep(timeoutMs)
@@ -197,6 +197,21 @@
     stop()
   })
 
+  it('keeps a run that the next incarnation goes on listing since its stops get lost (TWICE)', async () => {
+    const { waitForLoss, stop } = createTerm([createWorker('w', { born: 1 }), createWorker('w', { born: 2 })], 'w@1', (_record, clock) => ({
+      poll: async (req: WorkerPollRequest) => {
+        await clock.sleep(ANSWER_MS + req.waitMs)
+        return { refusal: null, clockMs: clock.now(), born: 2, running: [RUNNING], ended: [], hasMoreEnds: false }
+      },
+      stop: async (_req, timeoutMs) => {
+        await clock.sleep(timeoutMs)
+        throw new Error('no answer')
+      }
+    }))
+    expect(await waitForLoss('w@1', 30_000)).to.equal(null)
+    stop()
+  })
+
   // The numbers of ends begin anew with each incarnation, which may answer the calls that are meant for the last one.
   it('acknowledges no ends to the next incarnation that only the earlier one has listed (TWICE)', async () => {
     let born = 1
--- a/src/workers/findLossBasis/index.ts
+++ b/src/workers/findLossBasis/index.ts
@@ -6,11 +6,9 @@
  */
 import type { Millis } from '../../clock/index.js'
 import { MAX_LATE_CALL_MS } from '../constants.js'
+import { computeLongestDuration } from '../leaseClock/index.js'
 import type { RunOrder } from '../runOrder/index.js'
 
-/** Maximum wait for the lists of a next incarnation that can't be reached. */
-const MAX_LIST_WAIT_MS: Millis = MAX_LATE_CALL_MS
-
 /**
  * What the leader knows about the start of a run. `listed`: the incarnation that it was placed on has listed the run; `notListedNext`: the next one
  * doesn't run it and never will; `open`: neither is known. A confirmed stop is not enough: it doesn't tell which incarnation has confirmed it, and
@@ -31,9 +29,18 @@
 /**
  * Why a run can no longer be running. `leaseExpired`: its worker has not answered until its lease expired; `workerGone`: the incarnation is gone
  * and its id has not returned; `listed`: the incarnation had listed the run, which ended with it; `notListedNext`: the next incarnation doesn't
- * list it; `waited`: no call that may start it can still arrive.
+ * list it; `nextLeaseExpired`: the next one has not answered until its lease expired; `waited`: the longest lease has expired that the last call
+ * which may start the run can grant to a next incarnation that has never answered.
  */
-export type LossBasis = 'leaseExpired' | 'workerGone' | 'listed' | 'notListedNext' | 'waited'
+export type LossBasis = 'leaseExpired' | 'workerGone' | 'listed' | 'notListedNext' | 'nextLeaseExpired' | 'waited'
+
+/** What is known about the next incarnation of a worker. */
+export interface NextIncarnation {
+  /** Whether it has listed its runs, so that it refuses calls to earlier incarnations. */
+  readonly hasListedRuns: boolean
+  /** Whether its lease has expired without an answer. */
+  readonly isLeaseExpired: boolean
+}
 
 /** What is known about the incarnation that a run was placed on. */
 export interface PlacedIncarnation {
@@ -45,6 +52,10 @@
   readonly isReincarnated: boolean
   /** Time since it became known to be gone; meaningless while `isGone` is false. */
   readonly goneForMs: Millis
+  /** The next incarnation; null while none is known or none is left. */
+  readonly next: NextIncarnation | null
+  /** Longest lease that workers allow, in milliseconds. */
+  readonly maxLeaseMs: Millis
 }
 
 /**
@@ -54,10 +65,11 @@
  * @param start - what is known about the start; an answer to it alone doesn't tell which incarnation gave it
  * @returns null while it may be running
  */
-export function findLossBasis ({ isLeaseExpired, isGone, isReincarnated, goneForMs }: PlacedIncarnation, start: StartStatus): LossBasis | null {
+export function findLossBasis ({ isLeaseExpired, isGone, isReincarnated, goneForMs, next, maxLeaseMs }: PlacedIncarnation, start: StartStatus): LossBasis | null {
   if (!isLeaseExpired) return null
   if (!isGone) return 'leaseExpired'
   if (!isReincarnated) return 'workerGone'
   if (start !== 'open') return start
-  return goneForMs > MAX_LIST_WAIT_MS ? 'waited' : null
+  if (next?.hasListedRuns === true) return next.isLeaseExpired ? 'nextLeaseExpired' : null
+  return goneForMs > MAX_LATE_CALL_MS + computeLongestDuration(maxLeaseMs) ? 'waited' : null
 }
--- a/src/workers/findLossBasis/test.ts
+++ b/src/workers/findLossBasis/test.ts
@@ -1,7 +1,9 @@
 import { expect } from 'chai'
+import { MAX_LATE_CALL_MS } from '../constants.js'
 import { findLossBasis } from './index.js'
 
-const REINCARNATED = { isLeaseExpired: true, isGone: true, isReincarnated: true, goneForMs: 100 }
+const MAX_LEASE_MS = 6000
+const REINCARNATED = { isLeaseExpired: true, isGone: true, isReincarnated: true, goneForMs: 100, next: null, maxLeaseMs: MAX_LEASE_MS }
 
 describe('findLossBasis', () => {
   it('waits until the lease of an unresponsive worker has expired', () => {
@@ -19,7 +21,16 @@
     expect(findLossBasis(REINCARNATED, 'notListedNext')).to.equal('notListedNext')
   })
 
-  it('waits no longer than the longest lease for a next incarnation that cannot be reached', () => {
-    expect(findLossBasis({ ...REINCARNATED, goneForMs: 15_000 }, 'open')).to.equal('waited')
+  it('waits for a late call and then for the longest lease while the next incarnation has not listed its runs', () => {
+    for (const next of [null, { hasListedRuns: false, isLeaseExpired: true }]) {
+      expect(findLossBasis({ ...REINCARNATED, next, goneForMs: MAX_LATE_CALL_MS + MAX_LEASE_MS }, 'open')).to.equal(null)
+      expect(findLossBasis({ ...REINCARNATED, next, goneForMs: MAX_LATE_CALL_MS + MAX_LEASE_MS * 1.05 }, 'open')).to.equal('waited')
+    }
+  })
+
+  it('keeps a run that the next incarnation has listed until its lease has expired, however long that takes', () => {
+    const next = { hasListedRuns: true, isLeaseExpired: false }
+    expect(findLossBasis({ ...REINCARNATED, next, goneForMs: 60_000 }, 'open')).to.equal(null)
+    expect(findLossBasis({ ...REINCARNATED, next: { ...next, isLeaseExpired: true } }, 'open')).to.equal('nextLeaseExpired')
   })
 })
--- a/src/workers/leaseClock/index.ts
+++ b/src/workers/leaseClock/index.ts
@@ -3,6 +3,16 @@
 import type { ClockReading } from '../attributeAnswer/index.js'
 import { CLOCK_MARGIN_MS, SLOWEST_CLOCK_RATE } from '../constants.js'
 
+/**
+ * Returns for how long a lease may last at most.
+ *
+ * @param leaseMs - its duration on the worker's clock, in milliseconds
+ * @returns its longest duration on the leader's clock, in milliseconds
+ */
+export function computeLongestDuration (leaseMs: Millis): Millis {
+  return leaseMs / SLOWEST_CLOCK_RATE + CLOCK_MARGIN_MS
+}
+
 /** Estimates one worker's clock from the readings in its answers, and records the leases that the worker may hold. */
 export class LeaseClock {
   #workerClockMs: Millis | null = null
@@ -19,7 +29,7 @@
    */
   constructor (leaseMs: Millis, now: Millis) {
     this.#leaseMs = leaseMs
-    this.#inheritedExpiresAt = now + leaseMs / SLOWEST_CLOCK_RATE + CLOCK_MARGIN_MS
+    this.#inheritedExpiresAt = now + computeLongestDuration(leaseMs)
   }
 
   /**
@@ -71,6 +81,6 @@
   /** When every lease that may have been granted has expired, on the leader's clock. */
   get expiresAt (): Millis {
     if (this.#workerClockMs === null) return this.#inheritedExpiresAt
-    return this.#observedAt + (this.#latestExpiryMs - this.#workerClockMs) / SLOWEST_CLOCK_RATE + CLOCK_MARGIN_MS
+    return this.#observedAt + computeLongestDuration(this.#latestExpiryMs - this.#workerClockMs)
   }
 }
--- a/src/workers/lostRunFinder/index.ts
+++ b/src/workers/lostRunFinder/index.ts
@@ -1,6 +1,7 @@
 /** Finds the runs of workers that can no longer be running. */
 import type { TermContext } from '../../batch/leader/context.js'
-import { findLossBasis, startStatusOf, type LossBasis } from '../findLossBasis/index.js'
+import type { Millis } from '../../clock/index.js'
+import { findLossBasis, startStatusOf, type LossBasis, type PlacedIncarnation } from '../findLossBasis/index.js'
 import type { WorkerSession } from '../session/index.js'
 
 /** A run that can no longer be running. */
@@ -13,14 +14,17 @@
 /** Lists the runs that are over on workers whose leases have expired. */
 export class LostRunFinder {
   readonly #context: Pick<TermContext, 'state'>
+  readonly #maxLeaseMs: Millis
   readonly #sessionsWithId: (id: string) => Iterable<WorkerSession>
 
   /**
    * @param context - shared dependencies of the term
+   * @param maxLeaseMs - longest lease that workers allow, in milliseconds
    * @param sessionsWithId - returns the sessions with the incarnations under a worker's id
    */
-  constructor (context: Pick<TermContext, 'state'>, sessionsWithId: (id: string) => Iterable<WorkerSession>) {
+  constructor (context: Pick<TermContext, 'state'>, maxLeaseMs: Millis, sessionsWithId: (id: string) => Iterable<WorkerSession>) {
     this.#context = context
+    this.#maxLeaseMs = maxLeaseMs
     this.#sessionsWithId = sessionsWithId
   }
 
@@ -32,7 +36,14 @@
    */
   list (session: WorkerSession): LostRun[] {
     const next = this.#findNextIncarnation(session)
-    const incarnation = { isLeaseExpired: session.isLeaseExpired, isGone: session.goneReason !== null, isReincarnated: session.isReincarnated || next !== undefined, goneForMs: session.goneForMs }
+    const incarnation: PlacedIncarnation = {
+      isLeaseExpired: session.isLeaseExpired,
+      isGone: session.goneReason !== null,
+      isReincarnated: session.isReincarnated || next !== undefined,
+      goneForMs: session.goneForMs,
+      next: next === undefined ? null : { hasListedRuns: next.poller.hasListedRuns, isLeaseExpired: next.isLeaseExpired },
+      maxLeaseMs: this.#maxLeaseMs
+    }
     const lost: LostRun[] = []
     for (const [task, { run }] of this.#context.state.runsOn(session.key)) {
       const start = next !== undefined && next.token > session.token && next.poller.excludesEarlier(task, run) ? 'notListedNext' : startStatusOf(session.orders.get(task), run)
--- a/src/workers/poller/index.ts
+++ b/src/workers/poller/index.ts
@@ -47,6 +47,11 @@
     return this.#crashWindow.crashedBy
   }
 
+  /** Whether the worker has listed its runs, so that it refuses late calls to earlier incarnations. */
+  get hasListedRuns (): boolean {
+    return this.#newestLists !== null
+  }
+
   /**
    * Returns whether a run that was placed on an earlier incarnation is not running here and never will. Since its first answer the worker
    * refuses late calls to the earlier incarnation, because it has seen a higher token. A run that it lists is not excluded by a confirmed stop,
--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -67,7 +67,7 @@
     this.#onChange = onChange
     this.cordons = new Cordons(context.clock, (machine) => { for (const session of this.sessionsOn(machine)) session.starts.takeBack() })
     this.#admission = new StartAdmission(context.state, this.cordons)
-    this.#lostRunFinder = new LostRunFinder(context, (id) => this.#sessionsAmong(context.state.workerIndex.withId(id)))
+    this.#lostRunFinder = new LostRunFinder(context, connector.maxLeaseMs, (id) => this.#sessionsAmong(context.state.workerIndex.withId(id)))
     this.#pollGate = new PollGate(() => IMMEDIATE_POLLS_PER_CALLER * connector.countCallers())
     const records = [...context.state.data.workers]
     const isBusy = ([key]: readonly [string, WorkerRecord]): boolean => context.state.runsOn(key).size > 0
