--- a/src/workers/doubtfulWorkers/test.ts
+++ b/src/workers/doubtfulWorkers/test.ts
@@ -158,7 +158,7 @@
     stop()
   })
 
-  itKnownFailure('takes an answer to a start whose clock has begun anew for that of the next incarnation (TWICE)', async () => {
+  it('takes an answer to a start whose clock has begun anew for that of the next incarnation (TWICE)', async () => {
     const { clock, start, waitForLoss, sessionOf, stop } = createCutOffWorker(() => 300)
     await clock.advance(100)
     start('w@1')
--- a/src/workers/findLossBasis/index.ts
+++ b/src/workers/findLossBasis/index.ts
@@ -10,11 +10,11 @@
 import type { RunOrder } from '../runOrder/index.js'
 
 /**
- * What the leader knows about the start of a run. `listed`: the incarnation that it was placed on has listed the run; `notListedNext`: the next one
- * doesn't run it and never will; `open`: neither is known. A confirmed stop is not enough: it doesn't tell which incarnation has confirmed it, and
+ * What the leader knows about the start of a run. `confirmed`: the incarnation that it was placed on has carried it out; `notListedNext`: the next
+ * one doesn't run it and never will; `open`: neither is known. A confirmed stop is not enough: it doesn't tell which incarnation has confirmed it, and
  * the run may go on for the stop grace.
  */
-export type StartStatus = 'listed' | 'notListedNext' | 'open'
+export type StartStatus = 'confirmed' | 'notListedNext' | 'open'
 
 /**
  * Returns what the incarnation that a run was placed on has told about it.
@@ -23,16 +23,16 @@
  * @param run - number of the run
  */
 export function startStatusOf (order: RunOrder | undefined, run: number): StartStatus {
-  return order?.run === run && order.percent >= 0 ? 'listed' : 'open'
+  return order?.run === run && order.isConfirmed ? 'confirmed' : 'open'
 }
 
 /**
  * Why a run can no longer be running. `leaseExpired`: its worker has not answered until its lease expired; `workerGone`: the incarnation is gone
- * and its id has not returned; `listed`: the incarnation had listed the run, which ended with it; `notListedNext`: the next incarnation doesn't
+ * and its id has not returned; `confirmed`: the incarnation had confirmed the run, which ended with it; `notListedNext`: the next incarnation doesn't
  * list it; `nextLeaseExpired`: the next one has not answered until its lease expired; `waited`: the longest lease has expired that the last call
  * which may start the run can grant to a next incarnation that has never answered.
  */
-export type LossBasis = 'leaseExpired' | 'workerGone' | 'listed' | 'notListedNext' | 'nextLeaseExpired' | 'waited'
+export type LossBasis = 'leaseExpired' | 'workerGone' | 'confirmed' | 'notListedNext' | 'nextLeaseExpired' | 'waited'
 
 /** What is known about the next incarnation of a worker. */
 export interface NextIncarnation {
--- a/src/workers/findLossBasis/test.ts
+++ b/src/workers/findLossBasis/test.ts
@@ -7,13 +7,13 @@
 
 describe('findLossBasis', () => {
   it('waits until the lease of an unresponsive worker has expired', () => {
-    expect(findLossBasis({ ...REINCARNATED, isLeaseExpired: false, isGone: false, isReincarnated: false }, 'listed')).to.equal(null)
+    expect(findLossBasis({ ...REINCARNATED, isLeaseExpired: false, isGone: false, isReincarnated: false }, 'confirmed')).to.equal(null)
     expect(findLossBasis({ ...REINCARNATED, isGone: false, isReincarnated: false }, 'open')).to.equal('leaseExpired')
   })
 
   it('ends the runs of an incarnation that is gone at once', () => {
     expect(findLossBasis({ ...REINCARNATED, isReincarnated: false }, 'open')).to.equal('workerGone')
-    expect(findLossBasis(REINCARNATED, 'listed')).to.equal('listed')
+    expect(findLossBasis(REINCARNATED, 'confirmed')).to.equal('confirmed')
   })
 
   it('keeps a run that a gone incarnation never listed until the next incarnation does not list it', () => {
--- a/src/workers/runControl/index.ts
+++ b/src/workers/runControl/index.ts
@@ -8,7 +8,7 @@
 
 /** Receives what the answers to the orders tell about the worker. */
 export interface OrderListener {
-  readonly onAnswer: (answer: OrderAnswer) => void
+  readonly onAnswer: (answer: OrderAnswer, source: AnswerSource) => void
   /** Returns the newest reading of the worker's clock. */
   readonly readClock: () => ClockReading | null
   /** Called when the worker has refused a start and will not carry it out. */
@@ -57,14 +57,17 @@
     try {
       const answer = await this.#calls.start({ ...runStart, token, leaseEndMs: grantLease(order.sentAt) }, ORDER_TIMEOUT_MS)
       order.settledAt = clock.now()
-      this.#logSource(startOrder, answer, attributeAnswer(answer.clockMs, reading, order.sentAt), reading)
-      this.#listener.onAnswer(answer)
-      if (answer.refusal === null) {
+      const source = this.#attribute(answer, reading, order.sentAt)
+      if (source !== 'same') this.#context.log.info('start.unattributed', { task: startOrder.task, run: startOrder.run, worker: this.#worker, source, refusal: answer.refusal, clockMs: answer.clockMs, lastClockMs: reading?.workerClockMs ?? null })
+      if (answer.refusal !== null) this.#onStartRefused(startOrder, order, answer.refusal)
+      else if (source === 'other') order.phase = 'unclear'
+      else {
         order.phase = 'started'
         order.startedAt = order.settledAt
         order.runningSinceMs ??= answer.clockMs
+        order.isConfirmed ||= source === 'same'
         this.consecutiveRefusals = 0
-      } else this.#onStartRefused(startOrder, order, answer.refusal)
+      }
     } catch (err) {
       order.phase = 'unclear'
       order.settledAt = clock.now()
@@ -72,9 +75,11 @@
     }
   }
 
-  #logSource ({ task, run }: StartOrder, { clockMs, refusal }: OrderAnswer, source: AnswerSource, reading: ClockReading | null): void {
-    if (source === 'same') return
-    this.#context.log.info('start.unattributed', { task, run, worker: this.#worker, source, refusal, clockMs, lastClockMs: reading?.workerClockMs ?? null })
+  /** Attributes an answer to an incarnation, and tells the session. */
+  #attribute (answer: OrderAnswer, reading: ClockReading | null, sentAt: Millis): AnswerSource {
+    const source = attributeAnswer(answer.clockMs, reading, { sentAt, receivedAt: this.#context.clock.now() })
+    this.#listener.onAnswer(answer, source)
+    return source
   }
 
   #onStartRefused ({ task, run }: StartOrder, order: RunOrder, refusal: OrderRefusal): void {
@@ -101,10 +106,12 @@
     order.isStopRequested = true
     if (order.isStopping || order.phase === 'starting' || !this.#context.mayOrder()) return
     order.isStopping = true
+    const reading = this.#listener.readClock()
+    const sentAt = clock.now()
     try {
       const answer = await this.#calls.stop({ token, task, run }, ORDER_TIMEOUT_MS)
-      this.#listener.onAnswer(answer)
-      if (answer.refusal === null) {
+      const source = this.#attribute(answer, reading, sentAt)
+      if (answer.refusal === null && source !== 'other') {
         order.phase = 'barred'
         order.settledAt = clock.now()
       } else if (answer.refusal === 'wrongWorker') this.#listener.onWrongWorker()
@@ -138,14 +145,16 @@
    * @param percent - 0 to 100
    */
   async pace (task: string, percent: number): Promise<void> {
-    const { token } = this.#context
+    const { clock, token } = this.#context
     const order = this.#orders.get(task)
     if (order === undefined || order.pace === percent || !this.#context.mayOrder()) return
     const before = order.pace
     order.pace = percent
+    const reading = this.#listener.readClock()
+    const sentAt = clock.now()
     try {
       const answer = await this.#calls.pace({ token, task, run: order.run, percent }, ORDER_TIMEOUT_MS)
-      this.#listener.onAnswer(answer)
+      this.#attribute(answer, reading, sentAt)
       if (answer.refusal !== null) order.pace = before
     } catch (err) {
       order.pace = Number.NaN
--- a/src/workers/runOrder/index.ts
+++ b/src/workers/runOrder/index.ts
@@ -21,6 +21,8 @@
   sentAt: Millis
   /** Reading of the worker's clock when the run was first known to be running; null before. */
   runningSinceMs: Millis | null
+  /** Whether the incarnation that the run was placed on has listed it or answered its start, so that no other one can have taken the start. */
+  isConfirmed: boolean
   /** Whether the worker went on listing the run for {@link SURVIVAL_MS}. */
   hasSurvived: boolean
   /** Whether the job is suspected of crashing workers, so that the run's survival is looked at early. */
@@ -47,7 +49,7 @@
  * @param now - clock reading
  */
 export function createRunOrder (run: number, now: Millis): RunOrder {
-  return { run, phase: 'unclear', settledAt: Number.NEGATIVE_INFINITY, startedAt: now, sentAt: Number.NEGATIVE_INFINITY, runningSinceMs: null, hasSurvived: false, isTrial: false, isStopRequested: false, isStopping: false, percent: -1, percentChangedAt: now, load: null, pace: 100, checkpoint: '' }
+  return { run, phase: 'unclear', settledAt: Number.NEGATIVE_INFINITY, startedAt: now, sentAt: Number.NEGATIVE_INFINITY, runningSinceMs: null, isConfirmed: false, hasSurvived: false, isTrial: false, isStopRequested: false, isStopping: false, percent: -1, percentChangedAt: now, load: null, pace: 100, checkpoint: '' }
 }
 
 /** The leader's records of the last run of each task on one worker, by task. */
@@ -78,6 +80,7 @@
   observe ({ task, run, percent, load, checkpoint }: RunningTask, now: Millis, workerClockMs: Millis): RunOrder {
     const order = this.ensure(task, run, now)
     order.runningSinceMs ??= workerClockMs
+    order.isConfirmed = true
     if (workerClockMs - order.runningSinceMs >= SURVIVAL_MS) order.hasSurvived = true
     if (order.phase === 'unclear') {
       order.phase = 'started'
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -3,6 +3,7 @@
 import type { Millis } from '../../clock/index.js'
 import type { RunEnd, WorkerRecord } from '../../batch/state/records.js'
 import type { RunningTask } from '../../batch/types.js'
+import type { AnswerSource } from '../attributeAnswer/index.js'
 import { compareRuns } from '../compareRuns/index.js'
 import { WorkerContact } from '../contact/index.js'
 import { LeaseClock } from '../leaseClock/index.js'
@@ -61,7 +62,7 @@
     this.#lease = new LeaseClock(context.inheritedLeaseMs, context.clock.now())
     this.#wakeNotifier = new Notifier(context.clock)
     this.#control = new RunControl(key, this.orders, calls, context, {
-      onAnswer: (answer) => { this.#observeClock(answer) },
+      onAnswer: (answer, source) => { this.#observeSource(answer, source) },
       readClock: () => this.#lease.reading,
       onStartRefused: (task, run) => { this.#recordEnd(task, run, 'refused', '') },
       onWrongWorker: () => { this.markGone(WRONG_WORKER) }
@@ -253,8 +254,7 @@
       return
     }
     if (result.kind === 'reincarnated') {
-      this.isReincarnated = true
-      this.markGone('the worker has started again')
+      this.#markReincarnated()
       return
     }
     const wasLive = this.isLive
@@ -308,7 +308,13 @@
     this.#context.onChange()
   }
 
-  #observeClock (answer: OrderAnswer): void {
-    if (answer.clockMs !== null) this.#lease.observe(answer.clockMs, this.#context.clock.now())
+  #markReincarnated (): void {
+    this.isReincarnated = true
+    this.markGone('the worker has started again')
+  }
+
+  #observeSource ({ clockMs }: OrderAnswer, source: AnswerSource): void {
+    if (source === 'other') this.#markReincarnated()
+    else if (source === 'same' && clockMs !== null) this.#lease.observe(clockMs, this.#context.clock.now())
   }
 }
