--- a/src/workers/doubtfulWorkers/test.ts
+++ b/src/workers/doubtfulWorkers/test.ts
@@ -197,6 +197,17 @@
     stop()
   })
 
+  it('keeps a run that may have reached the incarnation after next once that has ended the next one (TWICE)', async () => {
+    const { waitForLoss, stop } = createTerm([createWorker('w', { born: 1 }), createWorker('w', { born: 2 })], 'w@1', (_record, clock) => ({
+      poll: async () => {
+        await clock.sleep(ANSWER_MS)
+        return { refusal: null, clockMs: clock.now(), born: 3, running: [RUNNING], ended: [], hasMoreEnds: false }
+      }
+    }))
+    expect(await waitForLoss('w@1', 6000)).to.equal(null)
+    stop()
+  })
+
   it('keeps a run that the next incarnation goes on listing since its stops get lost (TWICE)', async () => {
     const { waitForLoss, stop } = createTerm([createWorker('w', { born: 1 }), createWorker('w', { born: 2 })], 'w@1', (_record, clock) => ({
       poll: async (req: WorkerPollRequest) => {
--- a/src/workers/lostRunFinder/index.ts
+++ b/src/workers/lostRunFinder/index.ts
@@ -39,7 +39,7 @@
     const incarnation: PlacedIncarnation = {
       isLeaseExpired: session.isLeaseExpired,
       isGone: session.goneReason !== null,
-      isReincarnated: session.isReincarnated || next !== undefined,
+      isReincarnated: session.isReincarnated,
       goneForMs: session.goneForMs,
       next: next === undefined ? null : { hasListedRuns: next.poller.hasListedRuns, isLeaseExpired: next.isLeaseExpired },
       maxLeaseMs: this.#maxLeaseMs
--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -278,7 +278,9 @@
 
   #endEarlierIncarnations (record: WorkerRecord): void {
     for (const session of this.#sessionsAmong(this.#context.state.workerIndex.related(record))) {
-      if (session.record.born < record.born) session.markGone('a later incarnation of its id, machine or address has reported')
+      if (session.record.born >= record.born) continue
+      session.isReincarnated ||= session.record.id === record.id
+      session.markGone('a later incarnation of its id, machine or address has reported')
     }
   }
 
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -23,7 +23,7 @@
 export class WorkerSession {
   /** The leader's record of the last run of each task on the worker, by task. */
   readonly orders = new RunOrders()
-  /** Whether another incarnation under the same id has answered instead. */
+  /** Whether a later incarnation under the same id has answered or reported, which may have ended since. */
   isReincarnated = false
   /** Why the worker is known to be gone, or null. */
   goneReason: string | null = null
