--- a/src/batch/scheduler/index.ts
+++ b/src/batch/scheduler/index.ts
@@ -220,7 +220,7 @@
     const pool: PoolWorker[] = []
     for (const session of this.#registry.sessionsOf(service)) {
       const { record, key } = session
-      if (record.isDraining || !session.isLive || this.#policies.isCordoned(session)) continue
+      if (record.isDraining || !session.mayStartRuns || this.#policies.isCordoned(session)) continue
       const startsLeft = this.#stats.countAllowedStarts(key, clock.now())
       if (startsLeft === 0) continue
       const trials = hasSuspects ? describeTrials(session, state) : undefined
--- a/src/workers/contact/index.ts
+++ b/src/workers/contact/index.ts
@@ -54,9 +54,9 @@
     return this.#metRequirement < this.#requirement
   }
 
-  /** Whether the worker must answer a short poll before its lease is renewed. */
+  /** Whether the worker must answer a short poll before its lease is renewed, run ends are acknowledged and runs are started. */
   get isInDoubt (): boolean {
-    return this.isAnswerRequired || this.#consecutiveFailures > 0
+    return !this.isResponsive || this.#consecutiveFailures > 0
   }
 
   /** Whether the worker has answered recently. */
--- a/src/workers/contact/test.ts
+++ b/src/workers/contact/test.ts
@@ -32,6 +32,15 @@
     expect(contact).to.include({ isResponsive: true, isInDoubt: false })
   })
 
+  it('doubts a worker that was not polled for so long that it may have restarted since, although no poll has failed', async () => {
+    const clock = new ManualClock()
+    const contact = new WorkerContact(clock)
+    contact.recordAnswer(contact.recordPoll(POLL_WAIT_MS))
+    expect(contact.isInDoubt).to.equal(false)
+    await clock.advance(POLL_WAIT_MS + POLL_TIMEOUT_MS)
+    expect(contact.isInDoubt).to.equal(true)
+  })
+
   it('delays polls after failures, longer with each one, until the next answer', () => {
     const contact = new WorkerContact(new ManualClock())
     contact.recordFailure()
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -95,6 +95,11 @@
     return this.goneReason === null && this.contact.isResponsive
   }
 
+  /** Whether runs may be started there: it is live, and its last poll has not failed. */
+  get mayStartRuns (): boolean {
+    return this.goneReason === null && !this.contact.isInDoubt
+  }
+
   /** Time after which no run there can be running if the worker answers no more, in milliseconds. */
   get leaseLeftMs (): Millis {
     return this.#lease.expiresAt - this.#context.clock.now()
--- a/src/workers/session/test.ts
+++ b/src/workers/session/test.ts
@@ -51,6 +51,33 @@
     session.end()
   })
 
+  it('acknowledges no ends and grants no lease in its first poll after a pause, which the next incarnation may answer (TWICE)', async () => {
+    const { clock, worker, lease, session } = createSessionHarness()
+    worker.ended = [{ seq: 1, task: TASK, run: 1, outcome: 'stopped', checkpoint: '' }]
+    await clock.advance(50)
+    session.acknowledge(session.takeRunEnds().listedSeq)
+    await clock.advance(1000)
+    lease.mayOrder = false
+    await clock.advance(4000)
+    const before = worker.polls.length
+    lease.mayOrder = true
+    await clock.advance(100)
+    expect(worker.polls[before]).to.include({ acknowledgedSeq: 0, leaseEndMs: null })
+    expect(worker.polls[before + 1]).to.include({ acknowledgedSeq: 1 })
+    session.end()
+  })
+
+  it('starts no run on a worker whose last poll has failed, which may have restarted (TWICE)', async () => {
+    const { clock, session } = createSessionHarness()
+    await clock.advance(100)
+    expect(session).to.include({ isLive: true, mayStartRuns: true })
+    session.contact.recordFailure()
+    expect(session).to.include({ isLive: true, mayStartRuns: false })
+    await clock.advance(POLL_WAIT_MS)
+    expect(session.mayStartRuns).to.equal(true)
+    session.end()
+  })
+
   it('treats the lease of a worker that may be gone as valid until its last renewal has run out', async () => {
     const { clock, worker, session } = createSessionHarness()
     await clock.advance(1000)
--- a/src/workers/startAdmission/index.ts
+++ b/src/workers/startAdmission/index.ts
@@ -48,7 +48,7 @@
     if (!this.#state.isRunNeeded(task, run)) return 'notNeeded'
     if (session.record.isDraining) return 'draining'
     if (this.#cordons.has(session.record.machine)) return 'cordoned'
-    if (!session.isLive) return 'unresponsive'
+    if (!session.mayStartRuns) return 'unresponsive'
     return this.#shrunkWorkers.has(session.key) && !this.#isGangMember(task) && isOvercommitted(session, this.#state) ? 'shrunk' : null
   }
 
