--- a/src/workers/constants.ts
+++ b/src/workers/constants.ts
@@ -45,6 +45,12 @@
 /** Time-out of a start, stop or pace order. */
 export const ORDER_TIMEOUT_MS = 700
 
+/** A call that is not delayed arrives within this time, or its sender gives it up. */
+export const MAX_CALL_MS = POLL_WAIT_MS + POLL_TIMEOUT_MS
+
+/** A placed run is started, and its start arrives, within this time, unless the start waits behind unanswered ones. */
+export const MAX_START_DELAY_MS = 2000
+
 /** Starts in flight to one worker: an answer takes 3 ms, and another connection costs the leader more than that wait. */
 export const MAX_CONCURRENT_STARTS = 2
 
--- a/src/workers/doubtfulWorkers/test.ts
+++ b/src/workers/doubtfulWorkers/test.ts
@@ -5,7 +5,6 @@
 import { BatchState } from '../../batch/state/index.js'
 import type { BatchCommand, WorkerRecord } from '../../batch/state/records.js'
 import { ManualClock } from '../../clock/index.js'
-import { itKnownFailure } from '../../knownFailures/index.js'
 import { MAX_LATE_CALL_MS, MAX_WORKER_LEASE_MS } from '../constants.js'
 import { WorkerRegistry } from '../registry/index.js'
 import type { WorkerSession } from '../session/index.js'
@@ -150,7 +149,7 @@
     }
   })
 
-  itKnownFailure('waits for the longest lease when a next incarnation that nobody has heard of may have taken the start (TWICE)', async () => {
+  it('waits for the longest lease when a next incarnation that nobody has heard of may have taken the start (TWICE)', async () => {
     const { clock, start, waitForLoss, stop } = createCutOffWorker(() => null)
     await clock.advance(100)
     start('w@1')
@@ -176,7 +175,7 @@
     stop()
   })
 
-  itKnownFailure('waits for the longest lease of a worker that was lost with the leader that had just placed the run there (TWICE)', async () => {
+  it('waits for the longest lease of a worker that was lost with the leader that had just placed the run there (TWICE)', async () => {
     const silent = async (_req: unknown, timeoutMs: number, clock: ManualClock): Promise<never> => {
       await clock.sleep(timeoutMs)
       throw new Error('no answer')
--- a/src/workers/findLossBasis/index.ts
+++ b/src/workers/findLossBasis/index.ts
@@ -19,11 +19,10 @@
 /**
  * Returns what the incarnation that a run was placed on has told about it.
  *
- * @param order - the leader's record of the task on that worker, if any
- * @param run - number of the run
+ * @param order - the leader's record of the run on that worker, if any
  */
-export function startStatusOf (order: RunOrder | undefined, run: number): StartStatus {
-  return order?.run === run && order.isConfirmed ? 'confirmed' : 'open'
+export function startStatusOf (order: RunOrder | undefined): StartStatus {
+  return order?.isConfirmed === true ? 'confirmed' : 'open'
 }
 
 /**
@@ -46,6 +45,8 @@
 export interface PlacedIncarnation {
   /** Whether no run that the incarnation acknowledged can still be running: its lease has expired, or it is gone. */
   readonly isLeaseExpired: boolean
+  /** Whether no next incarnation that nobody has heard of can still run a start that was sent to this one. */
+  readonly isUnknownNextExpired: boolean
   /** Whether it is known to be gone; if not, its lease has expired without an answer. */
   readonly isGone: boolean
   /** Whether its worker has restarted under the same id. */
@@ -65,9 +66,9 @@
  * @param start - what is known about the start; an answer to it alone doesn't tell which incarnation gave it
  * @returns null while it may be running
  */
-export function findLossBasis ({ isLeaseExpired, isGone, isReincarnated, goneForMs, next, maxLeaseMs }: PlacedIncarnation, start: StartStatus): LossBasis | null {
+export function findLossBasis ({ isLeaseExpired, isUnknownNextExpired, isGone, isReincarnated, goneForMs, next, maxLeaseMs }: PlacedIncarnation, start: StartStatus): LossBasis | null {
   if (!isLeaseExpired) return null
-  if (!isGone) return 'leaseExpired'
+  if (!isGone) return start === 'confirmed' || isUnknownNextExpired ? 'leaseExpired' : null
   if (!isReincarnated) return 'workerGone'
   if (start !== 'open') return start
   if (next?.hasListedRuns === true) return next.isLeaseExpired ? 'nextLeaseExpired' : null
--- a/src/workers/findLossBasis/test.ts
+++ b/src/workers/findLossBasis/test.ts
@@ -3,7 +3,7 @@
 import { findLossBasis } from './index.js'
 
 const MAX_LEASE_MS = 6000
-const REINCARNATED = { isLeaseExpired: true, isGone: true, isReincarnated: true, goneForMs: 100, next: null, maxLeaseMs: MAX_LEASE_MS }
+const REINCARNATED = { isLeaseExpired: true, isUnknownNextExpired: true, isGone: true, isReincarnated: true, goneForMs: 100, next: null, maxLeaseMs: MAX_LEASE_MS }
 
 describe('findLossBasis', () => {
   it('waits until the lease of an unresponsive worker has expired', () => {
@@ -11,6 +11,12 @@
     expect(findLossBasis({ ...REINCARNATED, isGone: false, isReincarnated: false }, 'open')).to.equal('leaseExpired')
   })
 
+  it('waits for the longest lease of an unknown next incarnation where an unresponsive worker has not confirmed the run', () => {
+    const silent = { ...REINCARNATED, isGone: false, isReincarnated: false, isUnknownNextExpired: false }
+    expect(findLossBasis(silent, 'open')).to.equal(null)
+    expect(findLossBasis(silent, 'confirmed')).to.equal('leaseExpired')
+  })
+
   it('ends the runs of an incarnation that is gone at once', () => {
     expect(findLossBasis({ ...REINCARNATED, isReincarnated: false }, 'open')).to.equal('workerGone')
     expect(findLossBasis(REINCARNATED, 'confirmed')).to.equal('confirmed')
--- a/src/workers/leaseClock/index.ts
+++ b/src/workers/leaseClock/index.ts
@@ -1,7 +1,7 @@
 /** Computes when the lease of a worker's runs expires, on the worker's clock and on the leader's. */
 import type { Millis } from '../../clock/index.js'
 import type { ClockReading } from '../attributeAnswer/index.js'
-import { CLOCK_MARGIN_MS, SLOWEST_CLOCK_RATE } from '../constants.js'
+import { CLOCK_MARGIN_MS, MAX_CALL_MS, SLOWEST_CLOCK_RATE } from '../constants.js'
 
 /**
  * Returns for how long a lease may last at most.
@@ -19,6 +19,7 @@
   #observedAt: Millis = 0
   /** Latest time, on the worker's clock, at which a lease that it may hold expires. */
   #latestExpiryMs: Millis = Number.NEGATIVE_INFINITY
+  #lastArrivalAt: Millis = Number.NEGATIVE_INFINITY
   /** Latest time, on the leader's clock, at which a lease from an earlier leader expires. */
   readonly #inheritedExpiresAt: Millis
   readonly #leaseMs: Millis
@@ -73,11 +74,17 @@
    * @returns when it expires, on the worker's clock
    */
   grant (now: Millis, durationMs: Millis): Millis {
+    this.#lastArrivalAt = now + MAX_CALL_MS
     const expiryMs = Math.floor(this.estimate(now) + durationMs)
     this.#latestExpiryMs = Math.max(this.#latestExpiryMs, expiryMs)
     return expiryMs
   }
 
+  /** Latest time, on the leader's clock, at which the last call with a lease can have arrived unless it was delayed. */
+  get lastArrivalAt (): Millis {
+    return this.#lastArrivalAt
+  }
+
   /** When every lease that may have been granted has expired, on the leader's clock. */
   get expiresAt (): Millis {
     if (this.#workerClockMs === null) return this.#inheritedExpiresAt
--- a/src/workers/lostRunFinder/index.ts
+++ b/src/workers/lostRunFinder/index.ts
@@ -1,7 +1,8 @@
 /** Finds the runs of workers that can no longer be running. */
 import type { TermContext } from '../../batch/leader/context.js'
+import { parseTask } from '../../batch/types.js'
 import type { Millis } from '../../clock/index.js'
-import { findLossBasis, startStatusOf, type LossBasis, type PlacedIncarnation } from '../findLossBasis/index.js'
+import { findLossBasis, startStatusOf, type LossBasis } from '../findLossBasis/index.js'
 import type { WorkerSession } from '../session/index.js'
 
 /** A run that can no longer be running. */
@@ -13,7 +14,7 @@
 
 /** Lists the runs that are over on workers whose leases have expired. */
 export class LostRunFinder {
-  readonly #context: Pick<TermContext, 'state'>
+  readonly #context: Pick<TermContext, 'clock' | 'state'>
   readonly #maxLeaseMs: Millis
   readonly #sessionsWithId: (id: string) => Iterable<WorkerSession>
 
@@ -22,7 +23,7 @@
    * @param maxLeaseMs - longest lease that workers allow, in milliseconds
    * @param sessionsWithId - returns the sessions with the incarnations under a worker's id
    */
-  constructor (context: Pick<TermContext, 'state'>, maxLeaseMs: Millis, sessionsWithId: (id: string) => Iterable<WorkerSession>) {
+  constructor (context: Pick<TermContext, 'clock' | 'state'>, maxLeaseMs: Millis, sessionsWithId: (id: string) => Iterable<WorkerSession>) {
     this.#context = context
     this.#maxLeaseMs = maxLeaseMs
     this.#sessionsWithId = sessionsWithId
@@ -36,7 +37,7 @@
    */
   list (session: WorkerSession): LostRun[] {
     const next = this.#findNextIncarnation(session)
-    const incarnation: PlacedIncarnation = {
+    const incarnation = {
       isLeaseExpired: session.isLeaseExpired,
       isGone: session.goneReason !== null,
       isReincarnated: session.isReincarnated,
@@ -44,15 +45,25 @@
       next: next === undefined ? null : { hasListedRuns: next.poller.hasListedRuns, isLeaseExpired: next.isLeaseExpired },
       maxLeaseMs: this.#maxLeaseMs
     }
+    const { clock, state } = this.#context
     const lost: LostRun[] = []
-    for (const [task, { run }] of this.#context.state.runsOn(session.key)) {
-      const start = next !== undefined && next.token > session.token && next.poller.excludesEarlier(task, run) ? 'notListedNext' : startStatusOf(session.orders.get(task), run)
-      const basis = findLossBasis(incarnation, start)
+    for (const [task, { run, placedAt }] of state.runsOn(session.key)) {
+      const order = session.orders.get(task)
+      const orderOfRun = order?.run === run ? order : undefined
+      const start = next !== undefined && next.token > session.token && next.poller.excludesEarlier(task, run) ? 'notListedNext' : startStatusOf(orderOfRun)
+      // A long-running task has to run again within 9 s, which the longest lease would take up.
+      const isUnknownNextExpired = this.#isLasting(task) || session.isUnknownNextExpired(orderOfRun, clock.wall() - placedAt)
+      const basis = findLossBasis({ ...incarnation, isUnknownNextExpired }, start)
       if (basis !== null) lost.push({ task, run, basis })
     }
     return lost
   }
 
+  #isLasting (name: string): boolean {
+    const position = parseTask(name)
+    return position !== null && this.#context.state.data.jobs.get(position.job)?.steps[position.step]?.isLasting === true
+  }
+
   #findNextIncarnation ({ record }: WorkerSession): WorkerSession | undefined {
     for (const other of this.#sessionsWithId(record.id)) {
       if (other.record.born > record.born && other.goneReason === null) return other
--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -296,6 +296,7 @@
       metrics,
       token: term + restarts,
       inheritedLeaseMs,
+      maxLeaseMs: this.#connector.maxLeaseMs,
       mayOrder,
       runsOn: (worker) => state.runsOn(worker),
       findObstacle: (task, run) => this.#admission.findObstacle(session, task, run),
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -6,16 +6,16 @@
 import type { AnswerSource } from '../attributeAnswer/index.js'
 import { compareRuns } from '../compareRuns/index.js'
 import { WorkerContact } from '../contact/index.js'
-import { LeaseClock } from '../leaseClock/index.js'
+import { computeLongestDuration, LeaseClock } from '../leaseClock/index.js'
 import type { WorkerSessionContext, StartOrder } from './types.js'
 import type { OrderAnswer, WorkerCalls } from '../types.js'
 import { WorkerPoller, type ListedRuns } from '../poller/index.js'
 import { RunEndQueue, type CollectedRunEnds } from '../runEndQueue/index.js'
-import { RunOrders } from '../runOrder/index.js'
+import { RunOrders, type RunOrder } from '../runOrder/index.js'
 import { RunControl } from '../runControl/index.js'
 import type { LeaveGate } from '../pollGate/index.js'
 import { StartSender } from '../startSender/index.js'
-import { MAX_COMMIT_WAIT_MS, LEASE_MS, LEADER_LEASE_CHECK_MS, POLL_WAIT_MS, SURVIVAL_MS } from '../constants.js'
+import { MAX_COMMIT_WAIT_MS, LEASE_MS, LEADER_LEASE_CHECK_MS, MAX_START_DELAY_MS, POLL_WAIT_MS, SURVIVAL_MS } from '../constants.js'
 
 const WRONG_WORKER = 'another worker answers at its address'
 
@@ -42,6 +42,7 @@
   /** Notified when run ends are committed and when the session ends. */
   readonly #wakeNotifier: Notifier
   readonly #control: RunControl
+  readonly #openedAt: Millis
   #isEnded = false
   #goneAt: Millis = Number.POSITIVE_INFINITY
   readonly #runEnds = new RunEndQueue()
@@ -57,6 +58,7 @@
     this.#record = record
     this.#calls = calls
     this.#context = context
+    this.#openedAt = context.clock.now()
     this.contact = new WorkerContact(context.clock)
     this.poller = new WorkerPoller(calls, context, record.born)
     this.#lease = new LeaseClock(context.inheritedLeaseMs, context.clock.now())
@@ -110,6 +112,21 @@
     return this.goneReason !== null || (!this.isLive && this.#context.clock.now() > this.#lease.expiresAt)
   }
 
+  /**
+   * Returns whether an unconfirmed run can no longer be running on a next incarnation that nobody has heard of. Such an incarnation cuts a lease
+   * in the time of the earlier one down to the longest that workers allow, counted from the call.
+   *
+   * @param order - the leader's record of the run
+   * @param placedMsAgo - time since its placement on the wall clock, in milliseconds
+   */
+  isUnknownNextExpired (order: RunOrder | undefined, placedMsAgo: Millis): boolean {
+    const { clock, maxLeaseMs } = this.#context
+    const leaseMs = computeLongestDuration(maxLeaseMs)
+    if (order !== undefined && order.sentAt !== Number.NEGATIVE_INFINITY) return clock.now() > this.#lease.lastArrivalAt + leaseMs
+    const maxAgeMs = MAX_START_DELAY_MS + leaseMs
+    return placedMsAgo > maxAgeMs || clock.now() - this.#openedAt > maxAgeMs
+  }
+
   /** Starts that the worker refused in a row because it is overloaded or failing. */
   get consecutiveRefusals (): number {
     return this.#control.consecutiveRefusals
--- a/src/workers/session/types.ts
+++ b/src/workers/session/types.ts
@@ -16,6 +16,8 @@
   readonly token: number
   /** Longest lease that the worker may hold before this session grants one. */
   readonly inheritedLeaseMs: Millis
+  /** Longest lease that workers allow. */
+  readonly maxLeaseMs: Millis
   /** Whether this process may send orders now: its leader lease is confirmed. */
   readonly mayOrder: () => boolean
   /** Returns the runs that the replicated state has on a worker, by task. */
