--- a/src/workers/attributeAnswer/index.ts
+++ b/src/workers/attributeAnswer/index.ts
@@ -5,7 +5,7 @@
 import { CLOCK_MARGIN_MS, SLOWEST_CLOCK_RATE } from '../constants.js'
 
 /** A reading of an incarnation's clock in an answer that names it. */
-export interface ClockReading {
+export interface WorkerReading {
   readonly workerClockMs: Millis
   /** Clock reading of the leader when the answer arrived. */
   readonly observedAt: Millis
@@ -27,7 +27,7 @@
  * @param reading - newest reading of the called incarnation when the call was sent; null before its first answer
  * @param times - when the call was sent and answered
  */
-export function attributeAnswer (workerClockMs: Millis | null, reading: ClockReading | null, { sentAt, receivedAt }: CallTimes): AnswerSource {
+export function attributeAnswer (workerClockMs: Millis | null, reading: WorkerReading | null, { sentAt, receivedAt }: CallTimes): AnswerSource {
   if (workerClockMs === null || reading === null) return 'unclear'
   if (workerClockMs < reading.workerClockMs) return 'other'
   const earliestMs = reading.workerClockMs + (sentAt - reading.observedAt) * SLOWEST_CLOCK_RATE - CLOCK_MARGIN_MS
--- a/src/workers/leaseClock/index.ts
+++ b/src/workers/leaseClock/index.ts
@@ -1,6 +1,6 @@
 /** Computes when the lease of a worker's runs expires, on the worker's clock and on the leader's. */
 import type { Millis } from '../../clock/index.js'
-import type { ClockReading } from '../attributeAnswer/index.js'
+import type { WorkerReading } from '../attributeAnswer/index.js'
 import { CLOCK_MARGIN_MS, MAX_CALL_MS, SLOWEST_CLOCK_RATE } from '../constants.js'
 
 /**
@@ -52,7 +52,7 @@
   }
 
   /** The newest reading, or null before the first one. */
-  get reading (): ClockReading | null {
+  get reading (): WorkerReading | null {
     return this.#workerClockMs === null ? null : { workerClockMs: this.#workerClockMs, observedAt: this.#observedAt }
   }
 
--- a/src/workers/runControl/index.ts
+++ b/src/workers/runControl/index.ts
@@ -1,6 +1,6 @@
 /** Sends the leader's orders for the runs on one worker: starts, stops and paces. */
 import type { Millis } from '../../clock/index.js'
-import { attributeAnswer, type AnswerSource, type ClockReading } from '../attributeAnswer/index.js'
+import { attributeAnswer, type AnswerSource, type WorkerReading } from '../attributeAnswer/index.js'
 import { ORDER_TIMEOUT_MS } from '../constants.js'
 import type { RunOrder, RunOrders } from '../runOrder/index.js'
 import type { StartOrder, WorkerSessionContext } from '../session/types.js'
@@ -10,7 +10,7 @@
 export interface OrderListener {
   readonly onAnswer: (answer: OrderAnswer, source: AnswerSource) => void
   /** Returns the newest reading of the worker's clock. */
-  readonly readClock: () => ClockReading | null
+  readonly readClock: () => WorkerReading | null
   /** Called when the worker has refused a start and will not carry it out. */
   readonly onStartRefused: (task: string, run: number) => void
   /** Called when another worker answers at the address. */
@@ -76,7 +76,7 @@
   }
 
   /** Attributes an answer to an incarnation, and tells the session. */
-  #attribute (answer: OrderAnswer, reading: ClockReading | null, sentAt: Millis): AnswerSource {
+  #attribute (answer: OrderAnswer, reading: WorkerReading | null, sentAt: Millis): AnswerSource {
     const source = attributeAnswer(answer.clockMs, reading, { sentAt, receivedAt: this.#context.clock.now() })
     this.#listener.onAnswer(answer, source)
     return source
