--- a/src/batch/fuzz/simRelays.ts
+++ b/src/batch/fuzz/simRelays.ts
@@ -1,5 +1,7 @@
 /** Simulated control processes that make calls to workers for successive leaders, and that are paused, killed and cut off. */
 import type { ManualClock, Millis } from '../../clock/index.js'
+import { ProcessClock } from '../../clock/processClock/index.js'
+import { RemoteClock } from '../../clock/remoteClock/index.js'
 import type { MsgpackLinks } from '../../links/msgpackLink/index.js'
 import { ConnectionLostError, NotConnectedError } from '../../links/msgpackLink/index.js'
 import { WorkerRelay, type ConnectWorkerAddress } from '../../workers/relay/index.js'
@@ -19,9 +21,14 @@
   term = 0
   confirmedAt: Millis = 0
   readonly relay: WorkerRelay
+  readonly processClock: ProcessClock
+  /** The leader's knowledge of the relay's clock. */
+  readonly clock: RemoteClock
 
-  constructor (clock: ManualClock, connect: ConnectWorkerAddress) {
-    this.relay = new WorkerRelay(clock, connect, (term) => this.term === term)
+  constructor (clock: ManualClock, connect: ConnectWorkerAddress, process: number) {
+    this.processClock = new ProcessClock(clock, process)
+    this.clock = new RemoteClock(clock)
+    this.relay = new WorkerRelay(clock, connect, (term) => this.term === term, this.processClock)
   }
 }
 
@@ -40,7 +47,7 @@
   constructor (clock: ManualClock, random: Random, connect: ConnectWorkerAddress, count: number) {
     this.#clock = clock
     this.#random = random
-    for (let i = 0; i < count; i++) this.#relays.set(`relay-${i}`, new SimRelay(clock, connect))
+    for (let i = 0; i < count; i++) this.#relays.set(`relay-${i}`, new SimRelay(clock, connect, i))
   }
 
   /** Links of the leader to the relays. */
@@ -59,8 +66,9 @@
       if (relay.phase !== 'running') continue
       relay.term = Math.max(relay.term, term)
       relay.confirmedAt = this.#clock.now()
+      relay.clock.record(relay.processClock.read())
     }
-    return [...this.#relays].map(([address, { confirmedAt }]) => ({ address, confirmedAt }))
+    return [...this.#relays].map(([address, { confirmedAt, clock }]) => ({ address, confirmedAt, clock }))
   }
 
   /** Changes the phase of one relay, or brings it back. */
--- a/src/batch/leader/index.ts
+++ b/src/batch/leader/index.ts
@@ -191,8 +191,8 @@
 }
 
 function listOtherMembers (replica: Replica): RelayMember[] {
-  const { instance, members } = replica.status()
-  return members.filter((member) => member.instance !== instance).map(({ address, confirmedAt }) => ({ address, confirmedAt: confirmedAt ?? Number.NEGATIVE_INFINITY }))
+  const { instance: ownInstance, members } = replica.status()
+  return members.filter(({ instance }) => instance !== ownInstance).map(({ address, instance, confirmedAt }) => ({ address, confirmedAt: confirmedAt ?? Number.NEGATIVE_INFINITY, clock: replica.clockOf(instance) }))
 }
 
 function parseWorkerId (worker: string): string {
--- /dev/null
+++ b/src/clock/processClock/test.ts
@@ -0,0 +1,42 @@
+import { expect } from 'chai'
+import { ManualClock } from '../index.js'
+import { ProcessClock } from './index.js'
+
+/** Clock of a machine that can be suspended, which the monotonic clock does not count. */
+class SuspendableClock extends ManualClock {
+  suspendedMs = 0
+
+  override wall (): number {
+    return super.wall() + this.suspendedMs
+  }
+}
+
+describe('ProcessClock', () => {
+  it('advances with the monotonic clock', async () => {
+    const clock = new SuspendableClock()
+    const processClock = new ProcessClock(clock, 7)
+    const { process, ms } = processClock.read()
+    await clock.advance(500)
+    expect(processClock.read()).to.deep.equal({ process, ms: ms + 500 })
+  })
+
+  it('reaches a deadline also while the machine is suspended', async () => {
+    const clock = new SuspendableClock()
+    const processClock = new ProcessClock(clock)
+    const { process, ms } = processClock.read()
+    const deadline = { process, ms: ms + 850 }
+    expect(processClock.isBefore(deadline)).to.equal(true)
+    clock.suspendedMs += 600
+    await clock.advance(10)
+    expect(processClock.isBefore(deadline)).to.equal(true)
+    clock.suspendedMs += 600
+    expect(processClock.isBefore(deadline)).to.equal(false)
+    expect(processClock.read().ms).to.equal(ms + 1210)
+  })
+
+  it('is not before a reading of another process', () => {
+    const clock = new ManualClock()
+    const { process, ms } = new ProcessClock(clock, 1).read()
+    expect(new ProcessClock(clock, 2).isBefore({ process, ms: ms + 850 })).to.equal(false)
+  })
+})
--- a/src/clock/suspensionDetector/index.ts
+++ b/src/clock/suspensionDetector/index.ts
@@ -12,6 +12,7 @@
   readonly #clock: Clock
   #offset: number
   #jumpedAt: Millis = Number.NEGATIVE_INFINITY
+  #suspendedMs: Millis = 0
 
   /** @param clock - source of the monotonic and the wall-clock time */
   constructor (clock: Clock) {
@@ -26,10 +27,24 @@
    * @returns false when the machine may have been suspended after that reading
    */
   isContinuousSince (since: Millis): boolean {
+    this.#detect()
+    return since > this.#jumpedAt
+  }
+
+  /** Total time of all suspensions so far, which the monotonic clock has not counted. */
+  get suspendedMs (): Millis {
+    this.#detect()
+    return this.#suspendedMs
+  }
+
+  #detect (): void {
     const now = this.#clock.now()
     const offset = this.#clock.wall() - now
-    if (offset - this.#offset > JUMP_MS) this.#jumpedAt = now
+    const gain = offset - this.#offset
+    if (gain > JUMP_MS) {
+      this.#jumpedAt = now
+      this.#suspendedMs += gain
+    }
     this.#offset = offset
-    return since > this.#jumpedAt
   }
 }
--- a/src/clock/suspensionDetector/test.ts
+++ b/src/clock/suspensionDetector/test.ts
@@ -29,6 +29,20 @@
     expect(detector.isContinuousSince(1015)).to.equal(true)
   })
 
+  it('sums the times of all suspensions', () => {
+    const clocks = createClocks()
+    const detector = new SuspensionDetector(clocks.clock)
+    expect(detector.suspendedMs).to.equal(0)
+    for (const suspendedMs of [4000, 500]) {
+      clocks.steady += 10
+      clocks.wallNow += 10 + suspendedMs
+      detector.isContinuousSince(clocks.steady)
+    }
+    clocks.steady += 10
+    clocks.wallNow -= 9000
+    expect(detector.suspendedMs).to.equal(4500)
+  })
+
   it('reports no suspension when the wall clock is set back', () => {
     const clocks = createClocks()
     const detector = new SuspensionDetector(clocks.clock)
--- a/src/consensus/fuzz/group.ts
+++ b/src/consensus/fuzz/group.ts
@@ -4,6 +4,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { ManualClock } from '../../clock/index.js'
+import { ProcessClock } from '../../clock/processClock/index.js'
 import { MemoryDisk, MemoryStore } from '../memoryStore/index.js'
 import { Replica } from '../replica/index.js'
 import type { AppendRequest, AppendResponse, ConsensusTimings, Member, PeerTransport, StateMachine } from '../types.js'
@@ -72,6 +73,7 @@
   readonly errors: unknown[] = []
   /** Ids of the peers that have left messages of a leader unanswered. */
   readonly silences: string[] = []
+  #processCount = 0
   readonly #random: () => number
   readonly #options: Required<TestGroupOptions>
   /** When the last append of a node has been transferred, by id of the node. */
@@ -108,6 +110,7 @@
       store: node.store,
       machine: node.machine,
       clock: this.clock,
+      processClock: new ProcessClock(this.clock, ++this.#processCount),
       timings: this.#options.timings,
       compaction: { afterEntries: this.#options.compactAfterEntries, afterBytes: 16 * 1024 * 1024, keepEntries: 2, keepBytes: 4 * 1024 * 1024 },
       random: this.#random,
--- a/src/consensus/leadership/index.ts
+++ b/src/consensus/leadership/index.ts
@@ -1,6 +1,7 @@
 /** State that a member keeps only while it leads: the progress of its peers and the confirmation by a quorum. */
 import type { Clock, Millis } from '../../clock/index.js'
 import type { Notifier } from '../../clock/notifier/index.js'
+import type { RemoteClock } from '../../clock/remoteClock/index.js'
 import { MAX_PROMOTION_LAG_ENTRIES } from '../constants.js'
 import { quorumValue } from '../membership/index.js'
 import { PeerReplication } from '../replication/index.js'
@@ -83,6 +84,15 @@
     return this.#replications.get(member.instance)?.confirmedAt ?? Number.NEGATIVE_INFINITY
   }
 
+  /**
+   * Returns the clock of a peer.
+   *
+   * @param instance - instance of the peer
+   */
+  clockOf (instance: string): RemoteClock | null {
+    return this.#replications.get(instance)?.peerClock ?? null
+  }
+
   /** Returns a learner that has caught up, if there is one. */
   findCaughtUpLearner (): Member | undefined {
     const { log } = this.#deps.state
--- a/src/consensus/replica/deps.ts
+++ b/src/consensus/replica/deps.ts
@@ -1,5 +1,6 @@
 /** Dependencies of a member of the replicated log. */
 import type { Clock, Millis } from '../../clock/index.js'
+import type { ProcessClock } from '../../clock/processClock/index.js'
 import type { CompactionLimits, ConsensusTimings, Member, PeerTransport, StateMachine, Store } from '../types.js'
 
 /** Dependencies of {@link Replica}. */
@@ -15,6 +16,8 @@
    * election timeout after it. The start of the replica when omitted.
    */
   readonly startedAt?: Millis
+  /** Clock whose readings this member adds to its answers to a leader; none by default. */
+  readonly processClock?: ProcessClock
   readonly timings: ConsensusTimings
   readonly compaction: CompactionLimits
   /** Called while this member leads, with the first of the entries that a peer has left unanswered, and why. */
--- a/src/consensus/replica/index.ts
+++ b/src/consensus/replica/index.ts
@@ -1,6 +1,7 @@
 /** A member of the replicated log: handles proposals, reads, membership changes and messages of peers. */
 import { setMaxListeners } from 'node:events'
 import { Notifier } from '../../clock/notifier/index.js'
+import type { RemoteClock } from '../../clock/remoteClock/index.js'
 import { checkAppendRequest, checkSnapshotChunk, checkVoteRequest } from '../checkMessage/index.js'
 import { Election } from '../election/index.js'
 import { MembershipError, NotLeaderError } from '../errors.js'
@@ -44,7 +45,7 @@
     this.#state.onChange = () => { this.#onStateChange() }
     this.#election = new Election({ ...deps, state: this.#state, onElected: () => { this.#onElected() }, reportFailure: (work) => { this.#reportFailure(work) } })
     this.#compactor = new Compactor({ ...deps, store, state: this.#state, reportFailure: (work) => { this.#reportFailure(work) } })
-    this.#leaderMessageHandler = new LeaderMessageHandler(this.#state, deps.clock, (snapshot) => this.#installSnapshot(snapshot))
+    this.#leaderMessageHandler = new LeaderMessageHandler(this.#state, deps.clock, (snapshot) => this.#installSnapshot(snapshot), deps.processClock)
   }
 
   get isLeader (): boolean {
@@ -209,6 +210,15 @@
     return { id, instance, role, term, leader, lastIndex: log.lastIndex, commitIndex, snapshotIndex: log.baseIndex, areMembersPending: log.membersIndex > commitIndex, members, membersVersion, memberAddresses }
   }
 
+  /**
+   * Returns the clock of a peer while this member leads.
+   *
+   * @param instance - instance of the peer
+   */
+  clockOf (instance: string): RemoteClock | null {
+    return this.isLeader ? this.#leadership?.clockOf(instance) ?? null : null
+  }
+
   /** Handles a vote or pre-vote request of a candidate. */
   async onVote (req: VoteRequest): Promise<VoteResponse> { return await this.#election.answer(checkVoteRequest(req)) }
 
--- a/src/consensus/replica/leaderMessageHandler.ts
+++ b/src/consensus/replica/leaderMessageHandler.ts
@@ -1,5 +1,6 @@
 /** Handles the messages that a member receives from a leader. */
 import type { Clock } from '../../clock/index.js'
+import type { ClockReading, ProcessClock } from '../../clock/processClock/index.js'
 import type { AppendRequest, AppendResponse, LogEntry, Snapshot, SnapshotChunk, SnapshotResponse } from '../types.js'
 import type { ReplicaState } from './state.js'
 
@@ -16,17 +17,20 @@
   readonly #state: ReplicaState
   readonly #clock: Clock
   readonly #installSnapshot: (snapshot: Snapshot) => Promise<void>
+  readonly #processClock: ProcessClock | undefined
   #partialSnapshot: PartialSnapshot | null = null
 
   /**
    * @param state - this member's state
    * @param clock - source of time
    * @param installSnapshot - replaces state and log with a complete snapshot
+   * @param processClock - clock whose readings the answers contain
    */
-  constructor (state: ReplicaState, clock: Clock, installSnapshot: (snapshot: Snapshot) => Promise<void>) {
+  constructor (state: ReplicaState, clock: Clock, installSnapshot: (snapshot: Snapshot) => Promise<void>, processClock?: ProcessClock) {
     this.#state = state
     this.#clock = clock
     this.#installSnapshot = installSnapshot
+    this.#processClock = processClock
   }
 
   /**
@@ -36,6 +40,24 @@
    * @returns the answer, once the entries are durable
    */
   async append (req: AppendRequest): Promise<AppendResponse> {
+    return this.#addClock(await this.#append(req))
+  }
+
+  /**
+   * Handles a snapshot chunk, and installs the snapshot after the last chunk.
+   *
+   * @param req - the chunk
+   * @returns how many bytes of the snapshot have been received
+   */
+  async snapshot (req: SnapshotChunk): Promise<SnapshotResponse> {
+    return this.#addClock(await this.#snapshot(req))
+  }
+
+  #addClock<T extends { readonly clock?: ClockReading }> (res: T): T {
+    return this.#processClock === undefined ? res : { ...res, clock: this.#processClock.read() }
+  }
+
+  async #append (req: AppendRequest): Promise<AppendResponse> {
     const state = this.#state
     if (req.target !== state.instance) return { term: state.term, ok: false, matchIndex: 0, wrongInstance: true }
     if (!await this.#acceptLeader(req)) return { term: state.term, ok: false, matchIndex: 0 }
@@ -52,13 +74,7 @@
     return { term: state.term, ok: true, matchIndex: durableMatchIndex }
   }
 
-  /**
-   * Handles a snapshot chunk, and installs the snapshot after the last chunk.
-   *
-   * @param req - the chunk
-   * @returns how many bytes of the snapshot have been received
-   */
-  async snapshot (req: SnapshotChunk): Promise<SnapshotResponse> {
+  async #snapshot (req: SnapshotChunk): Promise<SnapshotResponse> {
     const state = this.#state
     if (req.target !== state.instance || !await this.#acceptLeader(req)) return { term: state.term, received: 0 }
     const key = `${req.leader.instance}/${req.term}/${req.index}/${req.total}`
--- a/src/consensus/replication/index.ts
+++ b/src/consensus/replication/index.ts
@@ -1,6 +1,7 @@
 /** Replicates the leader's log to one peer in a single loop that sends entries, heartbeats and snapshots. */
 import type { Clock, Millis } from '../../clock/index.js'
 import { Notifier } from '../../clock/notifier/index.js'
+import { RemoteClock } from '../../clock/remoteClock/index.js'
 import { APPEND_TIMEOUT_MS, MAX_BYTES_PER_APPEND, MAX_ENTRIES_PER_APPEND, MIN_APPEND_BYTES_PER_MS, SNAPSHOT_CHUNK_BYTES } from '../constants.js'
 import type { ReplicaState } from '../replica/state.js'
 import type { AppendResponse, ConsensusTimings, LogEntry, Member, PeerTransport, Snapshot } from '../types.js'
@@ -27,6 +28,8 @@
   matchIndex = 0
   /** Clock reading at which the newest acknowledged request was sent. */
   confirmedAt: Millis = Number.NEGATIVE_INFINITY
+  /** Clock of the peer as far as its answers tell. */
+  readonly peerClock: RemoteClock
   readonly #deps: ReplicationDeps
   readonly #term: number
   #nextIndex: number
@@ -38,6 +41,7 @@
    */
   constructor (readonly peer: Member, deps: ReplicationDeps) {
     this.#deps = deps
+    this.peerClock = new RemoteClock(deps.clock)
     this.#term = deps.state.term
     this.#nextIndex = deps.state.log.lastIndex + 1
   }
@@ -96,9 +100,9 @@
     return res.wrongInstance !== true
   }
 
-  #append (prevIndex: number, entries: readonly LogEntry[], timeoutMs: Millis): Promise<AppendResponse> {
+  async #append (prevIndex: number, entries: readonly LogEntry[], timeoutMs: Millis): Promise<AppendResponse> {
     const { state, transport } = this.#deps
-    return transport.append(this.peer, {
+    const res = await transport.append(this.peer, {
       term: this.#term,
       leader: state.self,
       target: this.peer.instance,
@@ -107,6 +111,8 @@
       entries,
       commitIndex: state.commitIndex
     }, timeoutMs)
+    if (res.clock !== undefined && res.wrongInstance !== true) this.peerClock.record(res.clock)
+    return res
   }
 
   /** Keeps the peer from standing for election, and its confirmations coming, while it receives a large entry. */
@@ -168,6 +174,7 @@
         total: snapshot.data.length,
         data: Buffer.from(chunk).toString('base64')
       })
+      if (res.clock !== undefined) this.peerClock.record(res.clock)
       await state.adoptTerm(res.term)
       if (!this.#isCurrent()) return false
       this.confirmedAt = Math.max(this.confirmedAt, chunkSentAt, sentAt)
--- a/src/consensus/replication/test.ts
+++ b/src/consensus/replication/test.ts
@@ -102,4 +102,34 @@
     }
     for (const node of group.nodes) await group.crash(node)
   })
+
+  it('knows the clock of each peer that has confirmed the leader, and that of the new process after a restart', async () => {
+    const { group, leader, followers } = await createGroup(3)
+    const readClock = (node: Node) => leader.replica?.clockOf(node.disk.instance)?.translate(group.clock.now())
+    const [follower] = followers as [Node]
+    for (const node of followers) expect(readClock(node)?.ms).to.be.within(group.clock.now() - 10, group.clock.now())
+    expect(leader.replica?.clockOf('unknown') ?? null).to.equal(null)
+    expect(follower.replica?.clockOf(leader.disk.instance), 'of a member that does not lead').to.equal(null)
+    const processBefore = readClock(follower)?.process
+    await group.crash(follower)
+    await group.start(follower)
+    await group.advance(1000)
+    expect(readClock(follower)?.process).not.to.equal(processBefore)
+    expect(readClock(follower)?.ms).to.be.within(group.clock.now() - 10, group.clock.now())
+    await stop(group)
+  })
+
+  it('knows the clock of each member that it may call through, at any moment after an election', async () => {
+    const { group, leader } = await createGroup(3)
+    await group.crash(leader)
+    for (let i = 0; i < 300; i++) {
+      await group.advance(10)
+      const next = group.leader()?.replica
+      for (const { instance, confirmedAt } of next?.status().members ?? []) {
+        if (instance !== next?.status().instance && Number.isFinite(confirmedAt)) expect(next?.clockOf(instance)?.translate(0)).to.be.an('object')
+      }
+    }
+    expect(group.leader()).not.to.equal(undefined)
+    await stop(group)
+  })
 })
--- a/src/consensus/types.ts
+++ b/src/consensus/types.ts
@@ -1,5 +1,6 @@
 /** Shared types of the replicated log. */
 import type { Millis } from '../clock/index.js'
+import type { ClockReading } from '../clock/processClock/index.js'
 
 /** Role of a member: only acknowledgements of voters count towards a quorum. */
 export type MemberRole = 'voter' | 'learner'
@@ -75,6 +76,8 @@
   readonly matchIndex: number
   /** Whether the receiver has another data folder than the one addressed. */
   readonly wrongInstance?: boolean
+  /** The receiver's clock when it answered. Earlier builds send none. */
+  readonly clock?: ClockReading
 }
 
 /** A chunk of a snapshot that the leader sends to a lagging member. */
@@ -101,6 +104,8 @@
   readonly term: number
   /** Bytes of the snapshot that the receiver holds so far. */
   readonly received: number
+  /** The receiver's clock when it answered. Earlier builds send none. */
+  readonly clock?: ClockReading
 }
 
 /** Sends requests to other members. Each call rejects after its own timeout. */
--- a/src/control/member/test.ts
+++ b/src/control/member/test.ts
@@ -1,8 +1,11 @@
 import { expect } from 'chai'
 import type { WorkerReport } from '../../batch/types.js'
 import { ManualClock } from '../../clock/index.js'
+import { ProcessClock } from '../../clock/processClock/index.js'
 import { Notifier } from '../../clock/notifier/index.js'
 import { EventLog } from '../../logs/eventLog/index.js'
+import { WorkerRelay } from '../../workers/relay/index.js'
+import type { WorkerCalls } from '../../workers/types.js'
 import { ControlMember, type ControlMemberDeps } from './index.js'
 
 const MEMBERS = [{ id: 'a', instance: 'a', address: 'a:1' }, { id: 'b', instance: 'b', address: 'b:1' }]
@@ -28,12 +31,16 @@
     lastLeaderContactAt: clock.now(),
     changed,
     start: () => Promise.resolve(0),
+    onAppend: () => { replica.lastLeaderContactAt = clock.now() },
     status: () => ({ lastIndex: 0, leader: replica.leader, instance: 'own', members: MEMBERS, membersVersion: 1, memberAddresses: ['a:1', 'b:1'] })
   }
   const relay = { mayRelay: (_term: number): boolean => false }
+  const processClock = new ProcessClock(clock)
+  const made: string[] = []
+  const connect = (): WorkerCalls => ({ start: ({ task }: { readonly task: string }) => { made.push(task); return Promise.resolve({ refusal: null, clockMs: 5 }) }, close: () => {} }) as unknown as WorkerCalls
   const createRelay = (mayRelay: (term: number) => boolean) => {
     relay.mayRelay = mayRelay
-    return { close: () => {} }
+    return new WorkerRelay(clock, connect, mayRelay, processClock)
   }
   const loop = { run: () => Promise.resolve() }
   const deps = { address: 'own:1', isKnownReport: ({ id }: { readonly id: string }) => id === 'known', clock, replica, log: new EventLog('test', clock, { writableLength: 0, write: () => {} }), bootstrapper: loop, membershipManager: loop, createRelay, onLeader: (leader: string | null) => { learned.push(leader) } }
@@ -42,7 +49,7 @@
     changed.notify()
     await clock.advance(1)
   }
-  return { clock, replica, relay, member: new ControlMember(deps as unknown as ControlMemberDeps), learned, setLeader }
+  return { clock, replica, relay, processClock, made, member: new ControlMember(deps as unknown as ControlMemberDeps), learned, setLeader }
 }
 
 describe('ControlMember', () => {
@@ -105,4 +112,18 @@
     replica.lastLeaderContactAt = clock.now()
     expect(relay.mayRelay(1)).to.equal(true)
   })
+
+  it('makes no call of before a pause of its process that it reads after heartbeats which have waited as well', async () => {
+    const { clock, processClock, made, member, setLeader } = createHarness()
+    const { append, relay } = member.calls as Record<string, (input: unknown) => unknown>
+    await member.start()
+    await setLeader('a:1')
+    const { process, ms } = processClock.read()
+    const createStart = (task: string, sentAfterMs: number) => ({ worker: { id: 'w', address: 'w:1' }, term: 1, call: 'start', req: { token: 1, task }, timeoutMs: 700, deadline: { process, ms: ms + sentAfterMs + 850 } })
+    await clock.advance(9000)
+    append?.({})
+    expect(await relay?.(createStart('old', 0))).to.include({ kind: 'expired' })
+    expect(await relay?.(createStart('new', 8990))).to.include({ kind: 'answered' })
+    expect(made).to.deep.equal(['new'])
+  })
 })
--- a/src/workers/relay/index.ts
+++ b/src/workers/relay/index.ts
@@ -1,11 +1,12 @@
 /**
  * Makes the leader's calls to workers on another control process, so that the leader's processor time goes to decisions.
  *
- * A relay decides nothing and keeps no state but its connections. It makes a call only while it follows the leader that asks, and only
- * if it has heard that leader recently. A call that is delayed all the same is harmless for the same reasons as one that the network
- * delays: the worker refuses it by its token, by the number of its run, or because its lease has expired.
+ * A relay decides nothing and keeps no state but its connections. It makes a call only while it follows the leader that asks, only
+ * if it has heard that leader recently, and only before the leader gives the call up: a process that was paused reads calls that have
+ * waited in its buffers together with newer heartbeats.
  */
 import type { Clock, Millis } from '../../clock/index.js'
+import type { ProcessClock } from '../../clock/processClock/index.js'
 import type { WorkerCalls } from '../types.js'
 import type { RelayAnswer, RelayRequest, WorkerAddress, WorkerCallName, WorkerCallTypes } from './types.js'
 
@@ -36,6 +37,8 @@
   readonly #clock: Clock
   readonly #connect: ConnectWorkerAddress
   readonly #mayRelay: (term: number) => boolean
+  readonly #processClock: ProcessClock
+  readonly #onExpired: (call: WorkerCallName) => void
   readonly #workers = new Map<string, ConnectedWorker>()
   #sweptAt: Millis
 
@@ -43,11 +46,15 @@
    * @param clock - source of time
    * @param connect - creates the client of a worker
    * @param mayRelay - returns whether this process follows the leader of a term and has heard from it recently
+   * @param processClock - clock of this process, to which deadlines refer
+   * @param onExpired - called for each call that is not made since its deadline has passed
    */
-  constructor (clock: Clock, connect: ConnectWorkerAddress, mayRelay: (term: number) => boolean) {
+  constructor (clock: Clock, connect: ConnectWorkerAddress, mayRelay: (term: number) => boolean, processClock: ProcessClock, onExpired: (call: WorkerCallName) => void = () => {}) {
     this.#clock = clock
     this.#connect = connect
     this.#mayRelay = mayRelay
+    this.#processClock = processClock
+    this.#onExpired = onExpired
     this.#sweptAt = clock.now()
   }
 
@@ -60,12 +67,16 @@
    * Makes a call for the leader.
    *
    * @param relayed - the call
-   * @returns the worker's answer; `refused` when no call was made
+   * @returns the worker's answer; `refused` or `expired` when no call was made
    */
-  async make<K extends WorkerCallName> ({ worker, term, call, req, timeoutMs }: RelayRequest<K>): Promise<RelayAnswer<K>> {
+  async make<K extends WorkerCallName> ({ worker, term, call, req, timeoutMs, deadline }: RelayRequest<K>): Promise<RelayAnswer<K>> {
     if (!Object.hasOwn(WORKER_CALLS, call)) return { kind: 'refused', reason: `unknown call "${call}"` }
     const leaderTerm = term ?? req.token
     if (!this.#mayRelay(leaderTerm)) return { kind: 'refused', reason: `this process does not follow the leader of term ${leaderTerm}` }
+    if (deadline !== undefined && !this.#processClock.isBefore(deadline)) {
+      this.#onExpired(call)
+      return { kind: 'expired', reason: 'the relay has read the call after its deadline' }
+    }
     try {
       return { kind: 'answered', answer: await WORKER_CALLS[call](this.#callsOf(worker), req, timeoutMs) }
     } catch (err) {
--- a/src/workers/relay/test.ts
+++ b/src/workers/relay/test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import { ManualClock } from '../../clock/index.js'
+import { ProcessClock } from '../../clock/processClock/index.js'
 import type { WorkerCalls } from '../types.js'
 import { WorkerRelay } from './index.js'
 import type { RelayRequest } from './types.js'
@@ -23,7 +24,9 @@
       close: () => { closed.push(address) }
     } as unknown as WorkerCalls
   }
-  return { clock, calls, connected, closed, state, relay: new WorkerRelay(clock, connect, (term) => term === state.term) }
+  const processClock = new ProcessClock(clock)
+  const deadlineIn = (ms: number) => ({ ...processClock.read(), ms: processClock.read().ms + ms })
+  return { clock, calls, connected, closed, state, deadlineIn, relay: new WorkerRelay(clock, connect, (term) => term === state.term, processClock) }
 }
 
 describe('WorkerRelay', () => {
@@ -47,6 +50,30 @@
     expect(calls).to.have.length(1)
   })
 
+  it('makes no call that its process has read only after the leader had given it up', async () => {
+    const { clock, relay, calls, deadlineIn } = createHarness()
+    const deadline = deadlineIn(850)
+    await clock.advance(850)
+    expect(await relay.make({ ...STOP, deadline })).to.include({ kind: 'answered' })
+    await clock.advance(1)
+    expect(await relay.make({ ...STOP, deadline })).to.include({ kind: 'expired' })
+    expect(calls).to.have.length(1)
+  })
+
+  it('makes no call whose deadline it can not judge, since it was restarted at its address', async () => {
+    const { relay, calls, deadlineIn } = createHarness()
+    const { process, ms } = deadlineIn(850)
+    expect(await relay.make({ ...STOP, deadline: { process: process + 1, ms } })).to.include({ kind: 'expired' })
+    expect(await relay.make({ ...STOP, deadline: { process, ms: Number.NaN } })).to.include({ kind: 'expired' })
+    expect(calls).to.deep.equal([])
+  })
+
+  it('makes the calls of leaders of earlier builds, which name no deadline', async () => {
+    const { clock, relay } = createHarness()
+    await clock.advance(60_000)
+    expect(await relay.make(STOP)).to.include({ kind: 'answered' })
+  })
+
   it('says that the outcome is unknown when the worker does not answer', async () => {
     const { relay, state } = createHarness()
     state.isWorkerSilent = true
--- a/src/workers/relay/types.ts
+++ b/src/workers/relay/types.ts
@@ -1,5 +1,6 @@
 /** Messages between the leader and the control processes that make its calls to workers. */
 import type { Millis } from '../../clock/index.js'
+import type { ClockReading } from '../../clock/processClock/index.js'
 import type { OrderAnswer, PaceRequest, StartRequest, StopRequest, WorkerPollAnswer, WorkerPollRequest } from '../types.js'
 
 /** A worker as far as it takes to call it. */
@@ -27,6 +28,8 @@
   readonly call: K
   readonly req: WorkerCallTypes[K]['req']
   readonly timeoutMs: Millis
+  /** When the leader gives the call up, on the relay's clock. Leaders of earlier builds name no deadline. */
+  readonly deadline?: ClockReading
 }
 
 /** Outcome of a relayed call. */
@@ -34,5 +37,7 @@
   | { readonly kind: 'answered', readonly answer: WorkerCallTypes[K]['answer'] }
   /** The call was made, and whether the worker has carried it out is unknown. */
   | { readonly kind: 'unclear', readonly reason: string }
-  /** The call was not made. */
+  /** The call was not made, and another process may make it. */
   | { readonly kind: 'refused', readonly reason: string }
+  /** The call was not made, since its deadline had passed. */
+  | { readonly kind: 'expired', readonly reason: string }
--- a/src/workers/relayRouter/index.ts
+++ b/src/workers/relayRouter/index.ts
@@ -1,5 +1,7 @@
 /** Decides through which control process the leader calls each worker. Answers the load of fleets of hundreds of workers. */
 import type { Clock, Millis } from '../../clock/index.js'
+import type { ClockReading } from '../../clock/processClock/index.js'
+import type { RemoteClock } from '../../clock/remoteClock/index.js'
 import type { EventLog } from '../../logs/eventLog/index.js'
 
 /** Interval between looks at which members answer. */
@@ -19,6 +21,7 @@
   readonly address: string
   /** Clock reading at which the newest message that it has confirmed was sent. */
   readonly confirmedAt: Millis
+  readonly clock: RemoteClock | null
 }
 
 interface Relay {
@@ -26,6 +29,7 @@
   /** Rejects the calls in flight through the relay. */
   readonly inFlight: Set<(err: Error) => void>
   isLive: boolean
+  clock: RemoteClock | null
   avoidedUntil: Millis
 }
 
@@ -108,6 +112,17 @@
     return this.#routes.get(worker) ?? null
   }
 
+  /**
+   * Returns when a call through a relay that begins now is given up, on the relay's clock.
+   *
+   * @param address - the relay's address
+   * @param timeoutMs - time for the call
+   * @returns the deadline, or null when the relay has told nothing about its clock
+   */
+  computeDeadline (address: string, timeoutMs: Millis): ClockReading | null {
+    return this.#relays.get(address)?.clock?.translate(this.#clock.now() + timeoutMs) ?? null
+  }
+
   #release (worker: string): void {
     const address = this.#routes.get(worker)
     if (address === undefined) return
@@ -168,10 +183,11 @@
     const now = this.#clock.now()
     if (now - this.#refreshedAt < REFRESH_INTERVAL_MS) return
     this.#refreshedAt = now
-    const live = new Set(this.#listMembers().filter(({ confirmedAt }) => now - confirmedAt < MAX_SILENCE_MS).map(({ address }) => address))
-    for (const address of live) {
+    const live = new Map(this.#listMembers().filter(({ confirmedAt }) => now - confirmedAt < MAX_SILENCE_MS).map(({ address, clock }) => [address, clock]))
+    for (const [address, clock] of live) {
       let relay = this.#relays.get(address)
-      if (relay === undefined) this.#relays.set(address, relay = { workers: new Set(), inFlight: new Set(), isLive: false, avoidedUntil: 0 })
+      if (relay === undefined) this.#relays.set(address, relay = { workers: new Set(), inFlight: new Set(), isLive: false, clock, avoidedUntil: 0 })
+      relay.clock = clock
       if (!relay.isLive) this.#use(address, relay)
     }
     for (const [address, relay] of this.#relays) if (relay.isLive && !live.has(address)) this.#lose(address, relay)
--- a/src/workers/relayRouter/test.ts
+++ b/src/workers/relayRouter/test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import { ManualClock } from '../../clock/index.js'
+import { RemoteClock } from '../../clock/remoteClock/index.js'
 import { EventLog } from '../../logs/eventLog/index.js'
 import { RelayLostError, RelayRouter, type RelayMember } from './index.js'
 
@@ -12,7 +13,7 @@
   const confirmedAt = new Map<string, number>()
   const listMembers = (): RelayMember[] => addresses.map((address) => {
     if (!lost.has(address)) confirmedAt.set(address, clock.now())
-    return { address, confirmedAt: confirmedAt.get(address) ?? Number.NEGATIVE_INFINITY }
+    return { address, confirmedAt: confirmedAt.get(address) ?? Number.NEGATIVE_INFINITY, clock: null }
   })
   const router = new RelayRouter(clock, new EventLog('test', clock, { writableLength: 0, write: () => {} }), listMembers)
   const routeAll = () => WORKERS.map((worker) => router.route(worker))
@@ -114,4 +115,18 @@
     expect(router.route('w@1')).to.equal(null)
     expect(router.routeOf('w@1')).to.equal(null)
   })
+
+  it('tells the deadline of a call on the clock of its relay, also when that is restarted', async () => {
+    const clock = new ManualClock(0)
+    const relayClock = new RemoteClock(clock)
+    const router = new RelayRouter(clock, new EventLog('test', clock, { writableLength: 0, write: () => {} }), () => [{ address: 'a:1', confirmedAt: clock.now(), clock: relayClock }])
+    router.route('w@1')
+    expect(router.computeDeadline('a:1', 850), 'of a relay of an earlier build').to.equal(null)
+    expect(router.computeDeadline('b:1', 850), 'of an unknown relay').to.equal(null)
+    relayClock.record({ process: 1, ms: 70_000 })
+    expect(router.computeDeadline('a:1', 850)).to.deep.equal({ process: 1, ms: 70_833 })
+    await clock.advance(100)
+    relayClock.record({ process: 2, ms: 40 })
+    expect(router.computeDeadline('a:1', 850)).to.deep.equal({ process: 2, ms: 873 })
+  })
 })
--- a/src/workers/relayedCalls/index.ts
+++ b/src/workers/relayedCalls/index.ts
@@ -3,7 +3,7 @@
 import { isCertainlyNotSent, type MsgpackLinks } from '../../links/msgpackLink/index.js'
 import type { Metrics } from '../../metrics/index.js'
 import { WORKER_CALLS, type ConnectWorkerAddress } from '../relay/index.js'
-import type { RelayAnswer, WorkerAddress, WorkerCallName, WorkerCallTypes } from '../relay/types.js'
+import type { RelayAnswer, RelayRequest, WorkerAddress, WorkerCallName, WorkerCallTypes } from '../relay/types.js'
 import type { RelayRouter } from '../relayRouter/index.js'
 import type { OrderAnswer, PaceRequest, StartRequest, StopRequest, WorkerCalls, WorkerPollAnswer, WorkerPollRequest } from '../types.js'
 
@@ -84,9 +84,12 @@
   async #relay<K extends WorkerCallName> (relay: string, call: K, req: WorkerCallTypes[K]['req'], timeoutMs: Millis): Promise<WorkerCallTypes[K]['answer'] | null> {
     const { links, router, metrics, term } = this.#deps
     metrics.count('oleanderward_relayed_calls', { relay })
+    const relayTimeoutMs = timeoutMs + RELAY_MARGIN_MS
+    const deadline = router.computeDeadline(relay, relayTimeoutMs)
+    const relayed: RelayRequest<K> = { worker: this.#worker, term, call, req, timeoutMs, ...(deadline === null ? {} : { deadline }) }
     let outcome: RelayAnswer<K>
     try {
-      outcome = await router.track(relay, links.to(relay).call<RelayAnswer<K>>(RELAY_CALL, { worker: this.#worker, term, call, req, timeoutMs }, timeoutMs + RELAY_MARGIN_MS))
+      outcome = await router.track(relay, links.to(relay).call<RelayAnswer<K>>(RELAY_CALL, relayed, relayTimeoutMs))
     } catch (err) {
       if (!isCertainlyNotSent(err)) {
         // A relay that is only slow keeps the workers whose calls it answers: all of them at once would overload the others.
@@ -101,7 +104,7 @@
       router.avoid(relay, outcome.reason)
       return null
     }
-    // Another process may reach a worker that this relay can't reach.
+    // Another process may reach a worker that this relay can't reach, or not in time.
     router.avoidFor(this.#key, relay)
     throw new Error(outcome.reason)
   }
--- a/src/workers/relayedCalls/test.ts
+++ b/src/workers/relayedCalls/test.ts
@@ -1,9 +1,12 @@
 import { expect } from 'chai'
 import { ManualClock } from '../../clock/index.js'
+import { ProcessClock } from '../../clock/processClock/index.js'
+import { RemoteClock } from '../../clock/remoteClock/index.js'
 import { ConnectionLostError, NotConnectedError, type MsgpackLinks } from '../../links/msgpackLink/index.js'
 import { EventLog } from '../../logs/eventLog/index.js'
 import { Metrics } from '../../metrics/index.js'
-import type { RelayAnswer } from '../relay/types.js'
+import { WorkerRelay } from '../relay/index.js'
+import type { RelayAnswer, RelayRequest } from '../relay/types.js'
 import { RelayRouter } from '../relayRouter/index.js'
 import type { OrderAnswer, WorkerCalls } from '../types.js'
 import { RelayedWorkerCalls } from './index.js'
@@ -20,12 +23,14 @@
   const clock = new ManualClock()
   const made: string[] = []
   const state = { mayOrder: true, reply: (() => Promise.resolve({ kind: 'answered', answer: DONE })) as Reply }
-  const links = { to: (address: string) => ({ call: () => { made.push(address); return state.reply() } }) } as unknown as MsgpackLinks
-  const router = new RelayRouter(clock, new EventLog('test', clock, { writableLength: 0, write: () => {} }), () => ['a', 'b'].map((address) => ({ address, confirmedAt: clock.now() })))
+  const sent: Array<RelayRequest<'stop'>> = []
+  const relayClock = new RemoteClock(clock)
+  const links = { to: (address: string) => ({ call: (_name: string, req: RelayRequest<'stop'>) => { made.push(address); sent.push(req); return state.reply() } }) } as unknown as MsgpackLinks
+  const router = new RelayRouter(clock, new EventLog('test', clock, { writableLength: 0, write: () => {} }), () => ['a', 'b'].map((address) => ({ address, confirmedAt: clock.now(), clock: relayClock })))
   const connect = (): WorkerCalls => ({ stop: () => { made.push('direct'); return Promise.resolve(DONE) }, close: () => {} }) as unknown as WorkerCalls
   const calls = new RelayedWorkerCalls('w@1', WORKER, { links, router, connect, mayOrder: () => state.mayOrder, metrics: new Metrics(), term: 3 })
   const stop = () => calls.stop(STOP, TIMEOUT_MS).catch((err: unknown) => err)
-  return { state, made, calls, stop }
+  return { clock, relayClock, sent, state, made, calls, stop }
 }
 
 describe('RelayedWorkerCalls', () => {
@@ -78,4 +83,34 @@
     expect(await stop()).to.be.instanceOf(Error)
     expect(made).to.deep.equal([])
   })
+
+  it('is not carried out by a relay that has read the call long after it was given up', async () => {
+    for (const { pausedMs, kind } of [{ pausedMs: 0, kind: 'answered' }, { pausedMs: 800, kind: 'answered' }, { pausedMs: 900, kind: 'expired' }, { pausedMs: 9000, kind: 'expired' }]) {
+      const { clock, relayClock, sent, stop } = createHarness()
+      let carriedOut = 0
+      const relayProcessClock = new ProcessClock(clock)
+      const relay = new WorkerRelay(clock, () => ({ stop: () => { carriedOut++; return Promise.resolve(DONE) }, close: () => {} }) as unknown as WorkerCalls, () => true, relayProcessClock)
+      relayClock.record(relayProcessClock.read())
+      await stop()
+      await clock.advance(pausedMs)
+      expect(await relay.make(sent[0] as RelayRequest<'stop'>), `paused for ${pausedMs} ms`).to.include({ kind })
+      expect(carriedOut).to.equal(kind === 'answered' ? 1 : 0)
+    }
+  })
+
+  it('repeats no call that has expired at its relay, and makes the next one of the worker through another relay', async () => {
+    const { state, made, stop } = createHarness()
+    state.reply = () => Promise.resolve({ kind: 'expired', reason: 'too late' })
+    expect(await stop()).to.be.instanceOf(Error)
+    expect(made).to.deep.equal(['a'])
+    state.reply = () => Promise.resolve({ kind: 'answered', answer: DONE })
+    expect(await stop()).to.deep.equal(DONE)
+    expect(made).to.deep.equal(['a', 'b'])
+  })
+
+  it('names no deadline to a relay of an earlier build, which has told nothing about its clock', async () => {
+    const { sent, stop } = createHarness()
+    await stop()
+    expect(sent[0]).not.to.have.property('deadline')
+  })
 })
