--- a/src/links/keepAliveCalls/index.ts
+++ b/src/links/keepAliveCalls/index.ts
@@ -56,6 +56,7 @@
   request ({ method, path, headers, body }: TextRequest, timeoutMs: Millis): Promise<TextAnswer> {
     const agent = this.#currentAgent()
     const answersBefore = this.#answerCount
+    const deadline = performance.now() + timeoutMs
     return new Promise((resolve, reject) => {
       const req = request({ host: this.#host, port: this.#port, agent, path, method, headers: body === null ? headers : { ...headers, 'content-length': String(Buffer.byteLength(body)) } })
       const fail = (err: Error): void => {
@@ -69,6 +70,16 @@
         fail(err)
         req.destroy()
       }, timeoutMs)
+      // A process that was stopped handles events of connections before the timeouts that were due earlier.
+      const failIfLate = (): void => {
+        if (performance.now() < deadline) return
+        fail(new CallTimeoutError(false))
+        req.destroy()
+      }
+      req.on('socket', (socket) => {
+        if (socket.connecting) socket.once('connect', failIfLate)
+        else failIfLate()
+      })
       req.on('error', fail)
       req.on('response', (res) => {
         const chunks: Buffer[] = []
--- a/src/links/keepAliveCalls/test.ts
+++ b/src/links/keepAliveCalls/test.ts
@@ -1,12 +1,19 @@
 import { expect } from 'chai'
+import { once } from 'node:events'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo, Socket } from 'node:net'
+import { connect, type AddressInfo, type Socket } from 'node:net'
 import { CallTimeoutError } from '../callTimeoutError/index.js'
 import { KeepAliveCalls } from './index.js'
 
 const LIMITS = { connections: 2, idleMs: 20_000 }
 const LONG_TIMEOUT_MS = 20_000
 
+/** Stands for a process that is stopped and continued: time passes, and events wait. */
+function blockEventLoop (ms: number): void {
+  const end = performance.now() + ms
+  while (performance.now() < end);
+}
+
 describe('KeepAliveCalls', () => {
   const connections = new Set<Socket>()
   let answer: (req: IncomingMessage, res: ServerResponse) => void
@@ -134,4 +141,54 @@
     const failures = await Promise.all(Array.from({ length: LIMITS.connections + 1 }, () => failureOf(ask('/', LONG_TIMEOUT_MS))))
     for (const err of failures) expect(err).to.be.instanceOf(Error).and.not.instanceOf(CallTimeoutError)
   })
+
+  it('does not send a call on a new connection when its process has stood still beyond the timeout meanwhile', async () => {
+    const received: string[] = []
+    answer = (req, res) => {
+      received.push(String(req.url))
+      res.end()
+    }
+    const { outcome } = await standStillAfter(() => failureOf(ask('/late', 20)))
+    expect(await outcome).to.be.instanceOf(CallTimeoutError).with.property('wasSent', false)
+    await ask('/next', LONG_TIMEOUT_MS)
+    expect(received).to.deep.equal(['/next'])
+  })
+
+  it('does not send a call on a connection that becomes free when its process has stood still beyond the timeout meanwhile', async () => {
+    const received: string[] = []
+    const waiting: ServerResponse[] = []
+    let onBothArrived = (): void => {}
+    const bothArrived = new Promise<void>((resolve) => { onBothArrived = resolve })
+    answer = (req, res) => {
+      received.push(String(req.url))
+      if (req.url !== '/first') res.end()
+      else if (waiting.push(res) === LIMITS.connections) onBothArrived()
+    }
+    const first = Array.from({ length: LIMITS.connections }, () => ask('/first', LONG_TIMEOUT_MS))
+    await bothArrived
+    const { outcome } = await standStillAfter(() => {
+      for (const res of waiting) res.end()
+      return failureOf(ask('/late', 20))
+    })
+    expect(await outcome).to.be.instanceOf(CallTimeoutError).with.property('wasSent', false)
+    await Promise.all(first)
+    await ask('/next', LONG_TIMEOUT_MS)
+    expect(received).to.deep.equal(['/first', '/first', '/next'])
+  })
+
+  /** Does something, and lets what follows from it at the connections wait behind a long turn of the event loop. */
+  async function standStillAfter<T> (begin: () => T): Promise<{ readonly outcome: T }> {
+    const other = connect((server.address() as AddressInfo).port, '127.0.0.1')
+    const [accepted] = await Promise.all([once(server, 'connection').then(([socket]) => socket as Socket), once(other, 'connect')])
+    return await new Promise((resolve) => {
+      other.once('data', () => {
+        blockEventLoop(60)
+        other.destroy()
+      })
+      setImmediate(() => {
+        accepted.write('x')
+        resolve({ outcome: begin() })
+      })
+    })
+  }
 })
