Let the stand-in worker keep clock, lease and stops as the platform's workers do

The clock of an incarnation went on from the one before, a lease could be of any length, a stop ended its run at once, and a start with a higher number silently replaced the run that was there. The oracle of the soak kept workers instead of runs, so that it saw no second run on one.

The oracle compares runs, brings the other workers up to date before it judges a start, so that a late timer of the test is no overlap, and also reports a start after an end that is acknowledged later. Proxies can be dark: they hide that the target has closed its connections, and later data goes to whatever listens there. LOOPBACK_NETWORK lets deployments run side by side.

--- a/integration/jobs/deployment.ts
+++ b/integration/jobs/deployment.ts
@@ -5,14 +5,18 @@
 import { join } from 'node:path'
 import { encodeConfig } from '../../platform/standin/caller.js'
 import { StandInMachines } from '../../platform/standin/machines.js'
+import { MAX_LEASE_MS } from '../../platform/standin/worker.js'
+
+/** First bytes of the loopback addresses. Deployments with different ones can run at the same time. */
+export const LOOPBACK_NETWORK = process.env.LOOPBACK_NETWORK ?? '127.0'
 
 /** Port for calls between the processes. All control processes can share it, since each has its own loopback address. */
 const INTERNAL_PORT = 18_560
 const CONTROL_PORT = 18_561
-const CONTROL_HOSTS = ['127.0.0.1', '127.0.0.2', '127.0.0.3'] as const
-const ENTRY_HOST = '127.0.0.4'
+const CONTROL_HOSTS = [`${LOOPBACK_NETWORK}.0.1`, `${LOOPBACK_NETWORK}.0.2`, `${LOOPBACK_NETWORK}.0.3`] as const
+const ENTRY_HOST = `${LOOPBACK_NETWORK}.0.4`
 const ENTRY_PORT = 18_562
-const MACHINES_ADDRESS = '127.0.0.5:18563'
+const MACHINES_ADDRESS = `${LOOPBACK_NETWORK}.0.5:18563`
 
 /** One line of the log of a process. */
 export type LogLine = Readonly<Record<string, unknown>> & { readonly event: string }
@@ -87,7 +91,7 @@
   startControl (index: number, isFirstStart: boolean): void {
     const host = CONTROL_HOSTS[index] as string
     const path = join(this.#folder, `control-${index}.json`)
-    writeFileSync(path, JSON.stringify({ node: `control-${index}`, zone: 'a', internalAddress: `${host}:${INTERNAL_PORT}`, internalPort: INTERNAL_PORT, controlAddress: `${host}:${CONTROL_PORT}`, metricsAddress: `${host}:${CONTROL_PORT + 10}`, seeds: this.controlAddresses, dataFolder: join(this.#folder, `data-${index}`), isFirstStart, advisorAddress: '', machinesAddress: MACHINES_ADDRESS, machineOrdersPerSecond: 64, retentionSeconds: 120 }))
+    writeFileSync(path, JSON.stringify({ node: `control-${index}`, zone: 'a', internalAddress: `${host}:${INTERNAL_PORT}`, internalPort: INTERNAL_PORT, controlAddress: `${host}:${CONTROL_PORT}`, metricsAddress: `${host}:${CONTROL_PORT + 10}`, seeds: this.controlAddresses, dataFolder: join(this.#folder, `data-${index}`), isFirstStart, advisorAddress: '', machinesAddress: MACHINES_ADDRESS, machineOrdersPerSecond: 64, retentionSeconds: 120, maxWorkerLeaseMs: MAX_LEASE_MS }))
     this.#processes.set(`control-${index}`, new LoggedProcess('target/platform-control.mjs', path))
   }
 
--- a/integration/jobs/test.ts
+++ b/integration/jobs/test.ts
@@ -3,7 +3,7 @@
 import { promisify } from 'node:util'
 import { encodeJob } from '../../platform/standin/caller.js'
 import { StandInWorker, type StandInWorkerOptions } from '../../platform/standin/worker.js'
-import { JobDeployment, waitUntil } from './deployment.js'
+import { JobDeployment, LOOPBACK_NETWORK, waitUntil } from './deployment.js'
 
 const execFileAsync = promisify(execFile)
 
@@ -27,7 +27,7 @@
 
   async function startWorker (changes: Partial<StandInWorkerOptions> = {}): Promise<StandInWorker> {
     const index = workers.length
-    const worker = new StandInWorker({ id: `i-${index}`, address: `127.0.1.${index + 1}:18570`, service: 'pool', control: deployment.controlAddresses, taskMs: TASK_MS, ...changes })
+    const worker = new StandInWorker({ id: `i-${index}`, address: `${LOOPBACK_NETWORK}.1.${index + 1}:18570`, service: 'pool', control: deployment.controlAddresses, taskMs: TASK_MS, ...changes })
     workers.push(worker)
     await worker.start()
     return worker
@@ -160,7 +160,7 @@
         }
       })
     }
-    for (const i of [1, 2, 3]) await startCrashing(`i-crashing-${i}`, `127.0.2.${i}:18570`)
+    for (const i of [1, 2, 3]) await startCrashing(`i-crashing-${i}`, `${LOOPBACK_NETWORK}.2.${i}:18570`)
     const id = await submit(1)
     await waitUntil(async () => await getState(id) === 'failed')
     const evidence = deployment.lines.filter(({ event, task, evidence }) => event === 'run.ended' && task === `${id}.0.0.0` && evidence === 'sole')
--- a/integration/soak/oracle/index.ts
+++ b/integration/soak/oracle/index.ts
@@ -1,5 +1,5 @@
 /** Compares what workers run with what callers were told, and collects violations of the guarantees. */
-import type { WorkerObserver } from '../../../platform/standin/worker.js'
+import type { ObservedRun, WorkerObserver } from '../../../platform/standin/worker.js'
 
 /** What a caller learned about its submission: `refused` guarantees that the job never runs, `unknown` leaves it open. */
 export type JobOutcome = 'accepted' | 'refused' | 'unknown'
@@ -27,11 +27,13 @@
   /** Descriptions of broken guarantees. */
   readonly violations: string[] = []
   readonly #jobs = new Map<string, JobRecord>()
-  /** Workers that run a task now, by task. */
-  readonly #runningWorkers = new Map<string, Set<string>>()
+  /** Runs that workers have now, by task. */
+  readonly #activeRuns = new Map<string, Set<ObservedRun>>()
   readonly #doneTasks = new Set<string>()
   /** Tasks whose successful end was acknowledged to a worker. */
   readonly #acknowledgedTasks = new Set<string>()
+  /** Runs of each task that have started after a successful end, by that end. */
+  readonly #startsAfterDone = new Map<ObservedRun, ObservedRun[]>()
   #newestConfigVersion = 0
 
   /**
@@ -121,13 +123,13 @@
   }
 
   /**
-   * Called when a worker starts a task; checks the start against all guarantees.
+   * Called when a worker starts a run; checks the start against all guarantees.
    *
-   * @param worker - id and start time of the worker
-   * @param task - id of the task
-   * @param running - number of tasks that the worker runs now
+   * @param started - the run
+   * @param running - number of runs that the worker has now
    */
-  onStart (worker: string, task: string, running: number): void {
+  onStart (started: ObservedRun, running: number): void {
+    const { task, worker } = started
     const [id = '', , step] = task.split('.')
     const job = this.#jobs.get(id)
     if (job === undefined) {
@@ -135,48 +137,59 @@
       return
     }
     job.startCount += 1
-    const otherWorkers = this.#runningWorkers.get(task) ?? new Set<string>()
-    if (otherWorkers.size > 0) this.violations.push(`${task} starts on ${worker} while it runs on ${[...otherWorkers].join(', ')}`)
-    if (this.#acknowledgedTasks.has(task)) this.violations.push(`${task} starts again after its end was acknowledged`)
+    const activeRuns = this.#activeRuns.get(task) ?? new Set<ObservedRun>()
+    for (const other of [...activeRuns]) other.settle()
+    if (activeRuns.size > 0) this.violations.push(`${describeRun(started)} starts while there is ${[...activeRuns].map(describeRun).join(', ')}`)
+    if (this.#acknowledgedTasks.has(task)) this.violations.push(`${describeRun(started)} starts after the end of the task was acknowledged`)
     if (job.outcome === 'refused') this.violations.push(`${task} starts, but its caller was told that the job never runs`)
     if (Date.now() > job.cancelledAt + CANCEL_GRACE_MS) this.violations.push(`${task} starts ${Date.now() - job.cancelledAt} ms after its job was cancelled`)
     if (step === '1' && this.#countDoneTasks(id, job.tasks) < job.tasks) this.violations.push(`${task} starts before all tasks of the previous step are done`)
     if (running > WORKER_CAPACITY_TASKS) this.violations.push(`${worker} runs ${running} tasks but has capacity for ${WORKER_CAPACITY_TASKS}`)
-    this.#runningWorkers.set(task, otherWorkers.add(worker))
+    this.#activeRuns.set(task, activeRuns.add(started))
+    for (const [ended, startsAfter] of this.#startsAfterDone) if (ended.task === task) startsAfter.push(started)
   }
 
   /**
-   * Called when a task ends on a worker.
+   * Called when a run ends.
    *
-   * @param worker - id and start time of the worker
-   * @param task - id of the task
+   * @param ended - the run
    * @param outcome - how it ended; `done` is a success
    */
-  onEnd (worker: string, task: string, outcome: string): void {
-    this.#runningWorkers.get(task)?.delete(worker)
-    if (outcome === 'done') this.#doneTasks.add(task)
+  onEnd (ended: ObservedRun, outcome: string): void {
+    this.#activeRuns.get(ended.task)?.delete(ended)
+    if (outcome !== 'done') return
+    this.#doneTasks.add(ended.task)
+    this.#startsAfterDone.set(ended, [])
   }
 
   /**
-   * Called when the end of a task was acknowledged to its worker, which held its lease from the end until then.
+   * Called when the end of a run was acknowledged to its worker, which held its lease from the end until then.
    *
-   * @param task - id of the task
+   * @param ended - the run
    * @param outcome - how it ended; `done` is a success
    */
-  onAcknowledged (task: string, outcome: string): void {
-    if (outcome === 'done') this.#acknowledgedTasks.add(task)
+  onAcknowledged (ended: ObservedRun, outcome: string): void {
+    if (outcome !== 'done') return
+    this.#acknowledgedTasks.add(ended.task)
+    for (const started of this.#startsAfterDone.get(ended) ?? []) this.violations.push(`${describeRun(started)} started after ${describeRun(ended)} had ended, and that end is acknowledged now`)
+    this.#startsAfterDone.delete(ended)
   }
 
   /**
-   * Called when a worker crashes, which ends all tasks that it runs.
+   * Called when a worker crashes, which ends all its runs.
    *
    * @param worker - id and start time of the worker
    */
   onCrash (worker: string): void {
-    for (const workers of this.#runningWorkers.values()) workers.delete(worker)
+    for (const runs of this.#activeRuns.values()) for (const run of runs) if (run.worker === worker) runs.delete(run)
+    for (const ended of this.#startsAfterDone.keys()) if (ended.worker === worker) this.#startsAfterDone.delete(ended)
   }
 
   #countDoneTasks (id: string, tasks: number): number {
     return Array.from({ length: tasks }, (_, index) => `${id}.0.0.${index}`).filter((task) => this.#doneTasks.has(task)).length
   }
 }
+
+function describeRun ({ task, run, worker }: ObservedRun): string {
+  return `run ${run} of ${task} on ${worker}`
+}
--- a/integration/soak/oracle/test.ts
+++ b/integration/soak/oracle/test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import type { ObservedRun } from '../../../platform/standin/worker.js'
 import { SoakOracle } from './index.js'
 
 const ID = '00000000000000aa'
@@ -12,10 +13,20 @@
   return oracle
 }
 
+function createRun (worker: string, task: string, run = 1, settle = (): void => {}): ObservedRun {
+  return { worker, task, run, settle }
+}
+
+function start (oracle: SoakOracle, worker: string, task: string, running = 1): ObservedRun {
+  const started = createRun(worker, task)
+  oracle.onStart(started, running)
+  return started
+}
+
 function runToCompletion (oracle: SoakOracle, task: string): void {
-  oracle.onStart('w', task, 1)
-  oracle.onEnd('w', task, 'done')
-  oracle.onAcknowledged(task, 'done')
+  const started = start(oracle, 'w', task)
+  oracle.onEnd(started, 'done')
+  oracle.onAcknowledged(started, 'done')
 }
 
 describe('SoakOracle', () => {
@@ -29,22 +40,32 @@
 
   const cases: Readonly<Record<string, (oracle: SoakOracle) => void>> = {
     'a task that runs on two workers at once': (oracle) => {
-      oracle.onStart('w', FIRST_TASK, 1)
-      oracle.onStart('x', FIRST_TASK, 1)
+      start(oracle, 'w', FIRST_TASK)
+      start(oracle, 'x', FIRST_TASK)
+    },
+    'a second run of a task beside the first one on the same worker': (oracle) => {
+      oracle.onStart(createRun('w', FIRST_TASK, 1), 1)
+      oracle.onStart(createRun('w', FIRST_TASK, 2), 2)
+    },
+    'an end that is acknowledged after the task has started again': (oracle) => {
+      const first = start(oracle, 'w', FIRST_TASK)
+      oracle.onEnd(first, 'done')
+      start(oracle, 'x', FIRST_TASK)
+      oracle.onAcknowledged(first, 'done')
     },
     'a start after the end of the task was acknowledged': (oracle) => {
       runToCompletion(oracle, FIRST_TASK)
-      oracle.onStart('x', FIRST_TASK, 1)
+      start(oracle, 'x', FIRST_TASK)
     },
-    'a step that starts before the previous one is done': (oracle) => { oracle.onStart('w', LAST_TASK, 1) },
-    'a start for a job that was never submitted': (oracle) => { oracle.onStart('w', '00000000000000bb.0.0.0', 1) },
-    'a worker that exceeds its capacity': (oracle) => { oracle.onStart('w', FIRST_TASK, 17) },
+    'a step that starts before the previous one is done': (oracle) => { start(oracle, 'w', LAST_TASK) },
+    'a start for a job that was never submitted': (oracle) => { start(oracle, 'w', '00000000000000bb.0.0.0') },
+    'a worker that exceeds its capacity': (oracle) => { start(oracle, 'w', FIRST_TASK, 17) },
     'a job that starts after its caller was told that it never runs': (oracle) => {
       oracle.settle(ID, 'refused')
-      oracle.onStart('w', FIRST_TASK, 1)
+      start(oracle, 'w', FIRST_TASK)
     },
     'a caller that is told that its job never runs after it has run': (oracle) => {
-      oracle.onStart('w', FIRST_TASK, 1)
+      start(oracle, 'w', FIRST_TASK)
       oracle.settle(ID, 'refused')
     },
     'a job that is shown as completed before all its tasks are done': (oracle) => {
@@ -62,11 +83,18 @@
 
   it('allows a task to start again if its worker crashed or if its end was never acknowledged', () => {
     const oracle = createOracle()
-    oracle.onStart('w', FIRST_TASK, 1)
+    start(oracle, 'w', FIRST_TASK)
     oracle.onCrash('w')
-    oracle.onStart('x', FIRST_TASK, 1)
-    oracle.onEnd('x', FIRST_TASK, 'done')
-    oracle.onStart('y', FIRST_TASK, 1)
+    oracle.onEnd(start(oracle, 'x', FIRST_TASK), 'done')
+    start(oracle, 'y', FIRST_TASK)
+    expect(oracle.violations).to.deep.equal([])
+  })
+
+  it('allows a start after the lease of an earlier run has expired, even if its worker has not noticed yet', () => {
+    const oracle = createOracle()
+    const first = createRun('w', FIRST_TASK, 1, () => { oracle.onEnd(first, 'lapsed') })
+    oracle.onStart(first, 1)
+    oracle.onStart(createRun('x', FIRST_TASK, 2), 1)
     expect(oracle.violations).to.deep.equal([])
   })
 })
--- a/standins/faultProxy/index.ts
+++ b/standins/faultProxy/index.ts
@@ -3,10 +3,11 @@
 
 /**
  * Fault of a link: `silent` drops data in both directions and keeps connections open, `silentOld` does so only on connections
- * that were open when the fault began, and permanently; `deaf` drops data to the target, `mute` data from it. `refuse` resets
+ * that were open when the fault began, and permanently; `dark` also hides that the target closes its connections, and later data
+ * goes to whatever listens at the target's address by then; `deaf` drops data to the target, `mute` data from it. `refuse` resets
  * open and new connections, `reset` open ones only; `truncate` passes on half of the next chunk from the target and closes.
  */
-export type LinkFault = 'none' | 'silent' | 'silentOld' | 'deaf' | 'mute' | 'refuse' | 'reset' | 'truncate'
+export type LinkFault = 'none' | 'silent' | 'silentOld' | 'dark' | 'deaf' | 'mute' | 'refuse' | 'reset' | 'truncate'
 
 /** Proxy in front of one address. */
 export class FaultProxy {
@@ -60,11 +61,16 @@
       client.resetAndDestroy()
       return
     }
-    const [host = '', port = ''] = this.#target.split(':')
-    const connection = new ProxiedConnection(client, connect({ host, port: Number(port) }), this)
+    const connection = new ProxiedConnection(client, this)
     this.#connections.add(connection)
     connection.onClose = () => { this.#connections.delete(connection) }
   }
+
+  /** Opens a connection to the target. */
+  connectTarget (): Socket {
+    const [host = '', port = ''] = this.#target.split(':')
+    return connect({ host, port: Number(port) })
+  }
 }
 
 /** Both sockets of one proxied connection. */
@@ -73,38 +79,54 @@
   isPermanentlySilent = false
   onClose: () => void = () => {}
   readonly #client: Socket
-  readonly #target: Socket
+  /** Null after the target has closed the connection in the dark. */
+  #target: Socket | null = null
   readonly #proxy: FaultProxy
 
-  constructor (client: Socket, target: Socket, proxy: FaultProxy) {
+  constructor (client: Socket, proxy: FaultProxy) {
     this.#client = client
-    this.#target = target
     this.#proxy = proxy
-    for (const socket of [client, target]) {
-      socket.setNoDelay(true)
-      socket.on('error', () => { this.destroy() })
-      socket.on('close', () => { if (!this.#isDroppingData) this.destroy() })
-    }
-    client.on('data', (chunk) => { this.#forward(chunk, target, 'deaf') })
-    target.on('data', (chunk) => { this.#forward(chunk, client, 'mute') })
+    client.setNoDelay(true)
+    client.on('error', () => { this.destroy() })
+    client.on('close', () => { if (!this.#isDroppingData) this.destroy() })
+    client.on('data', (chunk) => {
+      if (this.#isDroppingData) return
+      this.#target ??= this.#connectTarget()
+      this.#forward(chunk, this.#target, 'deaf')
+    })
+    if (proxy.fault !== 'dark') this.#target = this.#connectTarget()
+  }
+
+  #connectTarget (): Socket {
+    const target = this.#proxy.connectTarget()
+    target.setNoDelay(true)
+    target.on('error', () => { this.#onTargetClosed(() => { this.destroy() }) })
+    target.on('close', () => { this.#onTargetClosed(() => { if (!this.#isDroppingData) this.destroy() }) })
+    target.on('data', (chunk) => { this.#forward(chunk, this.#client, 'mute') })
+    return target
+  }
+
+  #onTargetClosed (closeOtherwise: () => void): void {
+    if (this.#proxy.fault !== 'dark') closeOtherwise()
+    else if (!this.isPermanentlySilent) this.#target = null
   }
 
   /** Closes both sockets. */
   destroy (): void {
     this.#client.destroy()
-    this.#target.destroy()
+    this.#target?.destroy()
     this.onClose()
   }
 
   /** Resets the client's socket and closes the target's. */
   reset (): void {
     this.#client.resetAndDestroy()
-    this.#target.destroy()
+    this.#target?.destroy()
     this.onClose()
   }
 
   get #isDroppingData (): boolean {
-    return this.isPermanentlySilent || this.#proxy.fault === 'silent'
+    return this.isPermanentlySilent || this.#proxy.fault === 'silent' || this.#proxy.fault === 'dark'
   }
 
   #forward (chunk: Buffer, destination: Socket, blockingFault: LinkFault): void {
