--- a/integration/soak/oracle/index.ts
+++ b/integration/soak/oracle/index.ts
@@ -190,6 +190,6 @@
   }
 }
 
-function describeRun ({ task, run, worker }: ObservedRun): string {
-  return `run ${run} of ${task} on ${worker}`
+function describeRun ({ task, run, worker, stopsAt }: ObservedRun): string {
+  return `run ${run} of ${task} on ${worker}${stopsAt < Number.POSITIVE_INFINITY ? ', being stopped' : ''}`
 }
--- a/integration/soak/oracle/test.ts
+++ b/integration/soak/oracle/test.ts
@@ -14,7 +14,7 @@
 }
 
 function createRun (worker: string, task: string, run = 1, settle = (): void => {}): ObservedRun {
-  return { worker, task, run, settle }
+  return { worker, task, run, stopsAt: Number.POSITIVE_INFINITY, settle }
 }
 
 function start (oracle: SoakOracle, worker: string, task: string, running = 1): ObservedRun {
