--- a/integration/restartedWorkers/test.ts
+++ b/integration/restartedWorkers/test.ts
@@ -1,6 +1,5 @@
 import { expect } from 'chai'
 import { writeFileSync } from 'node:fs'
-import { itKnownFailure, itUnsteady } from '../../src/knownFailures/index.js'
 import { RestartIncident, type ControlFault, type RestartTimes } from './incident.js'
 
 const SEED = Number(process.env.SEED ?? 1)
@@ -22,11 +21,11 @@
     expect(overlaps, overlaps.join('\n')).to.deep.equal([])
   }
 
-  itKnownFailure('never runs a task twice at the same time when workers start again and are cut off soon after', async () => {
+  it('never runs a task twice at the same time when workers start again and are cut off soon after', async () => {
     await expectNoOverlap(['none', 'none', 'pauseFollower', 'killLeader', 'pauseLeader', 'none'])
   })
 
-  itUnsteady('never runs a task twice at the same time when workers start again and are cut off before they report', async () => {
+  it('never runs a task twice at the same time when workers start again and are cut off before they report', async () => {
     // The earlier incarnation is still taken for alive when the next one is reachable.
     await expectNoOverlap(['none', 'none', 'pauseFollower', 'none', 'pauseFollower', 'none'], { downMs: [550, 700], firstReportMs: [470, 500], cutAfterMs: [400, 460], cutMs: [5000, 6000] })
   })
