Divide the simulation of the batch fuzz by job

The run ends of a worker, what impairs it, the set of workers and the drawing of jobs are modules of their own now.

--- a/src/batch/fuzz/random.ts
+++ b/src/batch/fuzz/random.ts
@@ -25,6 +25,15 @@
     return Math.floor(this.next() * bound)
   }
 
+  /**
+   * Returns a number between two bounds.
+   *
+   * @param bounds - lower bound, and upper bound, which is exclusive
+   */
+  nextBetween ([min, max]: readonly [min: number, max: number]): number {
+    return min + this.next() * (max - min)
+  }
+
   /**
    * Returns whether an event with a probability occurs. Draws no number when it can't.
    *
--- a/src/batch/fuzz/simFleet.ts
+++ b/src/batch/fuzz/simFleet.ts
@@ -1,10 +1,11 @@
 /** Simulated workers on a manual clock, with an oracle that checks which tasks they are ordered to run. */
 import type { Millis } from '../../clock/index.js'
 import type { WorkerPollAnswer, WorkerPollRequest, OrderAnswer, StartRequest, StopRequest } from '../../workers/types.js'
-import type { EndedRun, RunOutcome } from '../types.js'
+import type { RunOutcome } from '../types.js'
 import { parseTask } from '../types.js'
-import type { DoneEnd } from './endOracle.js'
 import { SimCalls } from './simCalls.js'
+import { SimCondition } from './simCondition.js'
+import { SimEnds } from './simEnds.js'
 import type { GangHost } from './simGang.js'
 import { PLAIN_VARIANT, type SimVariant } from './simVariant.js'
 import type { SimWorld } from './simWorld.js'
@@ -17,18 +18,6 @@
   readonly outcome: RunOutcome
 }
 
-/** An end that the worker lists until it is acknowledged. */
-interface ListedEnd {
-  readonly ended: EndedRun
-  /** Set when the run has ended as done. */
-  readonly done: DoneEnd | null
-  /** Whether an answer has listed it, even one that was lost. */
-  isListed: boolean
-}
-
-/** Which calls pass while a worker is silent. `answers`: calls are executed and their answers are lost; `both`: none. */
-export type SilenceMode = 'answers' | 'both'
-
 const TICK_MS: Millis = 20
 
 /** Longest lease that a worker grants. */
@@ -49,29 +38,20 @@
 /** Longest time from the start of a long-running task to its failure. */
 const MAX_LASTING_MS: Millis = 8000
 
-/** How a worker is ill: it refuses all starts, or fails all that it starts. */
-export type Illness = 'refusing' | 'failing'
-
 /** One incarnation of a simulated worker. */
 export class SimWorker extends SimCalls implements GangHost {
-  isPartitioned = false
+  /** What impairs the worker now. */
+  readonly condition: SimCondition
   readonly #world: SimWorld
   readonly #variant: SimVariant
   readonly #cpuCapacity: number
   readonly #readClock: () => Millis
   readonly #runs = new Map<string, SimRun>()
   readonly #revokedRuns = new Map<string, number>()
-  #unacknowledgedEnds: ListedEnd[] = []
-  #lastEndSeq = 0
+  readonly #ends = new SimEnds()
   #token = 0
   /** On the worker's clock. */
   #leaseEnd: Millis = 0
-  /** Run ends up to this one were not acknowledged before the lease expired, so the leader may ignore them. */
-  #lapsedSeq = 0
-  #silence: SilenceMode | null = null
-  #silentUntil: Millis = 0
-  #illness: Illness | null = null
-  #illUntil: Millis = 0
   #isDead = false
 
   /**
@@ -87,6 +67,7 @@
     this.#variant = world.variant ?? PLAIN_VARIANT
     this.#cpuCapacity = cpuCapacity
     this.#readClock = readClock
+    this.condition = new SimCondition(world.clock, (event) => { this.#trace(event) })
     void this.#runUntilCrash()
   }
 
@@ -106,7 +87,7 @@
 
   /** Whether calls reach the worker. */
   get isReachable (): boolean {
-    return !this.#isDead && !this.isPartitioned && !(this.#isSilent && this.#silence === 'both')
+    return !this.#isDead && this.condition.isReachable
   }
 
   /** Whether answers of the worker arrive. */
@@ -116,39 +97,7 @@
 
   /** Whether nothing that the worker sends arrives. */
   get isCutOff (): boolean {
-    return this.isPartitioned || this.#isSilent
-  }
-
-  get #isSilent (): boolean {
-    return this.#world.clock.now() < this.#silentUntil
-  }
-
-  /**
-   * Makes the worker silent for a while.
-   *
-   * @param mode - which calls pass
-   * @param ms - for how long; 0 ends its silence
-   */
-  fallSilent (mode: SilenceMode, ms: Millis): void {
-    if (ms > 0) this.#trace(`is silent for ${Math.round(ms)} ms: ${mode}`)
-    this.#silence = mode
-    this.#silentUntil = this.#world.clock.now() + ms
-  }
-
-  /**
-   * Makes the worker ill for a while.
-   *
-   * @param illness - what it does
-   * @param ms - for how long; 0 ends its illness
-   */
-  fallIll (illness: Illness, ms: Millis): void {
-    if (ms > 0) this.#trace(`is ${illness} for ${Math.round(ms)} ms`)
-    this.#illness = illness
-    this.#illUntil = this.#world.clock.now() + ms
-  }
-
-  #isIll (illness: Illness): boolean {
-    return this.#illness === illness && this.#world.clock.now() < this.#illUntil
+    return this.condition.isCutOff
   }
 
   /** Ends this incarnation without notice. */
@@ -179,12 +128,11 @@
     if (req.leaseEndMs !== null) this.#renewLease(req.leaseEndMs)
     this.#acknowledge(req.acknowledgedSeq)
     const until = clock.now() + req.waitMs
-    while (this.#unacknowledgedEnds.length === 0 && clock.now() < until && !this.#isDead) await clock.sleep(TICK_MS)
+    while (this.#ends.openCount === 0 && clock.now() < until && !this.#isDead) await clock.sleep(TICK_MS)
     const now = clock.now()
     const running = [...this.#runs].map(([task, { run, startedAt, endsAt }]) => ({ task, run, checkpoint: '', percent: gangs?.getPercent(task, run) ?? computePercent(now - startedAt, getStep(task).isLasting ? LONG_RUNNING_START_MS : endsAt - startedAt), load: null }))
-    const listedEnds = this.#unacknowledgedEnds.slice(0, this.#variant.endsPerAnswer)
-    for (const end of listedEnds) end.isListed = true
-    return { refusal: null, clockMs: this.clockMs, born: this.born, running, ended: listedEnds.map(({ ended }) => ended), hasMoreEnds: listedEnds.length < this.#unacknowledgedEnds.length }
+    const ended = this.#ends.list(this.#variant.endsPerAnswer)
+    return { refusal: null, clockMs: this.clockMs, born: this.born, running, ended, hasMoreEnds: ended.length < this.#ends.openCount }
   }
 
   /** Carries out a start. */
@@ -197,7 +145,7 @@
     this.#renewLease(req.leaseEndMs)
     if (this.#runs.get(req.task)?.run === req.run) return { refusal: null, clockMs }
     if (req.run <= (this.#revokedRuns.get(req.task) ?? 0)) return { refusal: 'stale', clockMs }
-    if (this.#isIll('refusing')) return { refusal: 'unhealthy', clockMs }
+    if (this.condition.isIll('refusing')) return { refusal: 'unhealthy', clockMs }
     this.#beginRun(req)
     return { refusal: null, clockMs }
   }
@@ -226,14 +174,13 @@
     if (this.#isDead) return
     this.#revokedRuns.set(task, Math.max(this.#revokedRuns.get(task) ?? 0, run))
     const done = outcome === 'done' ? this.#world.oracle?.recordDone(task, run) ?? { task, run, startsBefore: 0 } : null
-    this.#trace(`ends run ${run} of ${task}: ${outcome}, number ${this.#lastEndSeq + 1}`)
-    this.#unacknowledgedEnds.push({ ended: { seq: ++this.#lastEndSeq, task, run, outcome, checkpoint: '' }, done, isListed: false })
+    this.#trace(`ends run ${run} of ${task}: ${outcome}, number ${this.#ends.lastSeq + 1}`)
+    this.#ends.add(task, run, outcome, done)
   }
 
   expireLease (): void {
     if (this.#isDead || this.clockMs <= this.#leaseEnd) return
-    if (this.#lapsedSeq < this.#lastEndSeq) this.#trace('has lost its lease')
-    this.#lapsedSeq = this.#lastEndSeq
+    if (this.#ends.lapse()) this.#trace('has lost its lease')
     for (const task of [...this.#runs.keys()]) if (this.#runs.has(task)) this.endRun(task, 'lapsed')
   }
 
@@ -249,14 +196,12 @@
 
   /** Forgets the ends up to a number, listed or not. */
   #acknowledge (acknowledgedSeq: number): void {
-    for (const { ended: { seq, task, run }, done, isListed } of this.#unacknowledgedEnds) {
-      if (seq <= acknowledgedSeq) this.#trace(`forgets the end of run ${run} of ${task}: acknowledged up to ${acknowledgedSeq}`)
-      if (seq <= acknowledgedSeq && seq > this.#lapsedSeq && done !== null) {
-        this.#world.finishedTasks.add(done.task)
-        this.#world.oracle?.recordAcknowledged(done, this.#name, isListed)
-      }
+    for (const { ended: { task, run }, done, isListed, isLapsed } of this.#ends.acknowledge(acknowledgedSeq)) {
+      this.#trace(`forgets the end of run ${run} of ${task}: acknowledged up to ${acknowledgedSeq}`)
+      if (done === null || isLapsed) continue
+      this.#world.finishedTasks.add(done.task)
+      this.#world.oracle?.recordAcknowledged(done, this.#name, isListed)
     }
-    this.#unacknowledgedEnds = this.#unacknowledgedEnds.filter(({ ended }) => ended.seq > acknowledgedSeq)
   }
 
   get #name (): string {
@@ -292,7 +237,7 @@
   #planEnd (task: string, isLasting: boolean, estimateMs: Millis): Pick<SimRun, 'endsAt' | 'outcome'> {
     const { clock, random, hopelessJobs } = this.#world
     const now = clock.now()
-    if (this.#isIll('failing') || hopelessJobs?.has(parseTask(task)?.job ?? '') === true) return { endsAt: now + FAILURE_DELAY_MS, outcome: 'failed' }
+    if (this.condition.isIll('failing') || hopelessJobs?.has(parseTask(task)?.job ?? '') === true) return { endsAt: now + FAILURE_DELAY_MS, outcome: 'failed' }
     if (isLasting) return { endsAt: random.isBelow(this.#variant.lastingFailureShare) ? now + MAX_LASTING_MS * random.next() : Number.POSITIVE_INFINITY, outcome: 'failed' }
     const endsAt = now + estimateMs * (0.5 + random.next())
     return { endsAt, outcome: random.next() < 0.05 ? 'failed' : 'done' }
--- a/src/batch/fuzz/simulation.ts
+++ b/src/batch/fuzz/simulation.ts
@@ -1,5 +1,5 @@
 /** Simulates a fleet under successive leaders, for tests. */
-import { ManualClock, type Millis } from '../../clock/index.js'
+import { ManualClock } from '../../clock/index.js'
 import { Notifier } from '../../clock/notifier/index.js'
 import { EventLog } from '../../logs/eventLog/index.js'
 import { Metrics } from '../../metrics/index.js'
@@ -8,7 +8,7 @@
 import { RelayedWorkerCalls } from '../../workers/relayedCalls/index.js'
 import { RelayRouter } from '../../workers/relayRouter/index.js'
 import type { TermContext } from '../leader/context.js'
-import { createConfig, createJob, createQueue, createStep, createWorker, createWorkspace } from '../fixtures/index.js'
+import { createConfig, createJob, createQueue, createWorkspace } from '../fixtures/index.js'
 import { PlaceWait } from '../placeWait/index.js'
 import { ProgressWatch } from '../progressWatch/index.js'
 import { RunStats } from '../runStats/index.js'
@@ -21,33 +21,24 @@
 import { EndOracle, type Violation } from './endOracle.js'
 import { LastingOracle } from './lastingOracle.js'
 import { Random } from './random.js'
-import { AddressCalls } from './simCalls.js'
-import { MAX_LEASE_MS, SimWorker } from './simFleet.js'
+import { MAX_LEASE_MS } from './simFleet.js'
+import { drawSteps } from './simJobs.js'
 import { createStepLookup } from './simSteps.js'
 import type { SimWorld } from './simWorld.js'
 import { SimGangs } from './simGang.js'
 import { SimRelays } from './simRelays.js'
-import { NO_FAULTS, PLAIN_VARIANT, type MillisRange, type SimVariant } from './simVariant.js'
+import { NO_FAULTS, PLAIN_VARIANT, type SimVariant } from './simVariant.js'
+import { SimWorkers } from './simWorkers.js'
 
-const WORKERS = 4
-const RACKS = 2
 const RELAYS = 3
-const CPU_CAPACITY = 4000
 const RECOVERY_PHASE_MS = 60_000
 const STEP_MS = 100
 
-/** Bounds of the time after which a worker that a task has crashed is back. */
-const RESTART_MS: MillisRange = [500, 5000]
-
 const COMMIT_MS = 6
 
-const MAX_GANG_SIZE = 4
-
 /** Tells the waits how much longer far runs take; the runs of the simulation don't. */
 const REMOTE_PENALTY = 3
 
-const LASTING_CPU = 200
-
 /** Simulates successive leaders over one replicated state, with workers and calls that fail. */
 export class Simulation {
   readonly clock = new ManualClock()
@@ -59,7 +50,7 @@
   readonly #crashingShare: number
   readonly #variant: SimVariant
   readonly #steps = new Map<string, Step[]>()
-  readonly #incarnations: SimWorker[] = []
+  readonly #workers: SimWorkers
   readonly #relays: SimRelays
   readonly #lastingOracle: LastingOracle
   #term = 0
@@ -85,7 +76,7 @@
       hopelessJobs: new Set(),
       crashesUnder: new Map(),
       startsAfterThirdCrash: new Map(),
-      onCrash: (worker) => { this.#restartLater(worker, RESTART_MS) },
+      onCrash: (worker) => { this.#workers.restartCrashed(worker) },
       clock: this.clock,
       random: this.#random,
       variant,
@@ -98,11 +89,12 @@
       trace: (event) => { printLog(`${this.clock.now()} ${event}`) },
       faults: NO_FAULTS
     }
+    this.#workers = new SimWorkers(this.world, variant)
     this.#lastingOracle = new LastingOracle(this.clock, this.world, violations, (task) => this.#describeTask(task))
-    this.#relays = new SimRelays(this.clock, this.#random, (worker) => this.#connect(worker), RELAYS)
+    this.#relays = new SimRelays(this.clock, this.#random, (worker) => this.#workers.connect(worker), RELAYS)
     if (variant.caps.length > 0) this.world.capOracle = new CapOracle(this.clock, this.world, violations)
     this.#configure(variant.caps)
-    for (let i = 0; i < WORKERS; i++) this.#startIncarnation(i)
+    this.#workers.startAll()
   }
 
   /** Ends the current term as a leader failure does, and starts the next one. */
@@ -131,7 +123,7 @@
     const { term } = context
     this.#relays.announceTerm(term)
     const router = new RelayRouter(this.clock, log, () => this.#relays.listMembers(term))
-    const deps = { links: this.#relays.links, router, connect: (worker: WorkerAddress) => this.#connect(worker), mayOrder: context.mayOrder, metrics: context.metrics, term }
+    const deps = { links: this.#relays.links, router, connect: (worker: WorkerAddress) => this.#workers.connect(worker), mayOrder: context.mayOrder, metrics: context.metrics, term }
     const registry = new WorkerRegistry(context, { connect: (record) => new RelayedWorkerCalls(workerKey(record), record, deps), countCallers: () => router.countCallers(), maxLeaseMs: MAX_LEASE_MS }, () => { workNotifier.notify() })
     const stats = new RunStats()
     const runTimes = new RunTimes(REMOTE_PENALTY)
@@ -177,11 +169,7 @@
     // Under a lowered cap the largest gangs may not run at all.
     if (this.#variant.capChangeChance > 0) this.#configure(this.#variant.caps)
     this.#relays.recover()
-    for (const incarnation of this.#incarnations) {
-      incarnation.isPartitioned = false
-      incarnation.fallSilent('both', 0)
-      incarnation.fallIll('failing', 0)
-    }
+    this.#workers.recover()
   }
 
   /** Passes time without faults, but for late calls that are on their way and workers that come back. */
@@ -189,7 +177,7 @@
     for (let at = 0; at < this.#variant.calmPhaseMs; at += STEP_MS) {
       await this.#reportAll()
       await this.clock.advance(STEP_MS)
-      this.#lastingOracle.sample(this.#incarnations)
+      this.#lastingOracle.sample(this.#workers.incarnations)
     }
   }
 
@@ -212,16 +200,15 @@
     const random = this.#random
     if (random.next() < 0.3) this.#submit()
     if (random.next() < 0.02) this.#cancel()
-    if (random.next() < this.#variant.restartChance) this.#restart(random.nextInt(WORKERS))
-    if (random.next() < 0.03) for (const incarnation of this.#incarnations.slice(-1)) incarnation.isPartitioned = !incarnation.isPartitioned
+    if (random.next() < this.#variant.restartChance) this.#workers.restartOne()
+    if (random.next() < 0.03) this.#workers.togglePartition()
     if (random.next() < 0.08) this.#relays.injectFault()
     if (random.isBelow(this.#variant.capChangeChance)) this.#configure(this.#variant.caps.map((cpu) => cpu === 0 ? 0 : cpu - random.nextInt(2) * cpu / 4))
-    if (random.isBelow(this.#variant.silenceChance)) this.#silenceWorker()
-    if (random.isBelow(this.#variant.illnessChance)) this.#findLatest(random.nextInt(WORKERS))?.fallIll(random.next() < 0.5 ? 'refusing' : 'failing', this.#draw(this.#variant.illnessMs))
+    if (random.isBelow(this.#variant.silenceChance)) this.#workers.silenceOne()
+    if (random.isBelow(this.#variant.illnessChance)) this.#workers.infectOne()
     void this.#reportAll()
   }
 
-  /** Connects to the address of a worker, where another incarnation may answer later. */
   #configure (caps: readonly number[]): void {
     const config = createConfig(++this.#version, [createQueue({ maxAttempts: this.#variant.maxAttempts })])
     const workspaces = caps.length === 0 ? null : caps.map((cpu, i) => createWorkspace(`w${i}`, { weight: i + 1, cap: { cpu, memory: 0, accelerators: 0 } }))
@@ -229,31 +216,15 @@
     caps.forEach((cpu, i) => { if (cpu > 0) this.world.capOracle?.setCap(`w${i}`, cpu) })
   }
 
-  #connect ({ address }: WorkerAddress): AddressCalls {
-    return new AddressCalls(this.world, () => this.#incarnations.findLast((incarnation) => incarnation.address === address) as SimWorker)
-  }
-
-  #silenceWorker (): void {
-    const worker = this.#findLatest(this.#random.nextInt(WORKERS))
-    worker?.fallSilent(this.#random.next() < 0.5 ? 'answers' : 'both', this.#draw(this.#variant.silenceMs))
-  }
-
-  #draw ([minMs, maxMs]: MillisRange): Millis {
-    return minMs + this.#random.next() * (maxMs - minMs)
-  }
-
   #submit (): void {
     const id = (this.#steps.size + 1).toString(16).padStart(16, '0')
-    const task = createStep({ count: 1 + this.#random.nextInt(5), cpu: 500 + this.#random.nextInt(2000), estimateMs: 100 + this.#random.nextInt(900), maxPerWorker: this.#random.nextInt(3) })
-    const first = this.#random.isBelow(this.#variant.gangShare) ? createStep({ ...task, isGang: true, count: 2 + this.#random.nextInt(MAX_GANG_SIZE - 1), cpu: task.cpu / 2 }) : task
-    const isNear = this.#random.isBelow(this.#variant.nearShare)
-    if (isNear) Object.assign(first, first.isGang ? { prefersOneRack: true } : { dataRack: `r${this.#random.nextInt(RACKS)}` })
-    const isLasting = this.#random.isBelow(this.#variant.lastingShare)
-    const steps = isLasting ? [createStep({ ...task, cpu: LASTING_CPU, maxPerWorker: 0, isLasting })] : [first, createStep({ after: [0], estimateMs: 200 })]
+    const steps = drawSteps(this.#random, this.#variant)
+    const [first] = steps as [Step, ...Step[]]
+    const { isLasting, count } = first
     if (!isLasting && this.#random.isBelow(this.#variant.hopelessShare)) this.world.hopelessJobs?.add(id)
-    if (isLasting) this.#lastingOracle.watch(Array.from({ length: task.count }, (_, i) => `${id}.0.0.${i}`))
+    if (isLasting) this.#lastingOracle.watch(Array.from({ length: count }, (_, i) => `${id}.0.0.${i}`))
     this.#steps.set(id, steps)
-    if (this.#random.isBelow(this.#crashingShare)) this.world.crashingTasks.add(`${id}.0.0.${this.#random.nextInt(first.count)}`)
+    if (this.#random.isBelow(this.#crashingShare)) this.world.crashingTasks.add(`${id}.0.0.${this.#random.nextInt(count)}`)
     const { caps } = this.#variant
     const workspace = caps.length === 0 ? '' : `w${this.#random.nextInt(caps.length)}`
     this.world.capOracle?.recordJob(id, workspace)
@@ -271,58 +242,8 @@
     this.#apply({ type: 'cancel', at: this.clock.wall(), ids })
   }
 
-  /** Crashes a worker and restarts it, at once or after a time. */
-  #restart (i: number): void {
-    const { restartMs } = this.#variant
-    const worker = this.#findLatest(i)
-    if (restartMs[1] === 0 || worker === undefined) {
-      this.#startIncarnation(i)
-    } else if (!worker.isDead) {
-      worker.crash()
-      const { goneShare, calmPhaseMs } = this.#variant
-      this.#restartLater(worker, this.#random.isBelow(goneShare) ? [calmPhaseMs, calmPhaseMs + restartMs[1]] : restartMs)
-    }
-  }
-
-  /** Crashes a worker and restarts it under the same id, with a later start time than all incarnations so far. */
-  #startIncarnation (i: number): void {
-    const previous = this.#findLatest(i)
-    previous?.crash()
-    const born = (this.#incarnations.length + 1) * WORKERS + i
-    const address = previous !== undefined && this.#random.isBelow(this.#variant.keptAddressShare) ? previous.address : formatAddress(born)
-    this.#incarnations.push(new SimWorker(this.world, born, CPU_CAPACITY, address, this.#createWorkerClock()))
-  }
-
-  #createWorkerClock (): () => Millis {
-    const { slowestClockRate } = this.#variant
-    if (slowestClockRate === null) return () => this.clock.now()
-    const startedAt = this.clock.now()
-    const rate = slowestClockRate + this.#random.next() * (1 - slowestClockRate)
-    return () => Math.floor((this.clock.now() - startedAt) * rate)
-  }
-
-  /** Restarts a worker some seconds after its crash, unless it was restarted before. */
-  #restartLater (worker: SimWorker, range: MillisRange): void {
-    const i = worker.born % WORKERS
-    void this.clock.sleep(this.#draw(range)).then(() => {
-      if (this.#findLatest(i) === worker) this.#startIncarnation(i)
-    })
-  }
-
-  #findLatest (i: number): SimWorker | undefined {
-    return this.#incarnations.findLast(({ born }) => born % WORKERS === i)
-  }
-
   async #reportAll (): Promise<void> {
-    const registry = this.#registry
-    for (let i = 0; i < WORKERS; i++) {
-      const incarnation = this.#findLatest(i)
-      if (incarnation === undefined || incarnation.isCutOff || registry === null) continue
-      if (incarnation.isDead && !this.#variant.hasLateReports) continue
-      const { isDraining: _, ...record } = createWorker(`w${i}`, { born: incarnation.born, address: incarnation.address, labels: ['a', `r${i % RACKS}`], room: { cpu: CPU_CAPACITY, memory: 100_000, accelerators: 0 } })
-      void registry.report({ ...record, state: 'ready', drainLeftMs: null, sequence: this.clock.now() }).catch(() => {})
-    }
-    await Promise.resolve()
+    if (this.#registry !== null) await this.#workers.report(this.#registry)
   }
 
   #apply (command: BatchCommand): unknown {
@@ -334,7 +255,3 @@
 function printLog (line: string): void {
   if (process.env.SHOW_LOGS !== undefined) console.log(line)
 }
-
-function formatAddress (born: number): string {
-  return `incarnation-${born}:80`
-}
