Show in the fuzz how runs begin twice on workers that restart together

The fuzz of gangs and restarts did not show it: its workers report within 100 ms of their start, crash one at a time and are not cut off right after.

Three variants: 2 to 4 of 6 workers crash together, are back at their addresses 100 to 700 ms later, report up to 600 ms after that and are cut off 0.1 to 2 s after their start in six of ten cases, the leader changes meanwhile in four of ten; stops take 200 to 900 ms; tasks of 3 to 12 s, long-running ones and gangs. Leases are cut down to 6 or 10 s, no call is late but those of paused relays; the third variant adds late calls. The trace tells tokens, leases, first listings and calls that are late. No logic is changed.

--- a/src/batch/fuzz/simCalls.ts
+++ b/src/batch/fuzz/simCalls.ts
@@ -20,15 +20,15 @@
   abstract findReceiver (): SimWorker
 
   poll (req: WorkerPollRequest, timeoutMs: Millis): Promise<WorkerPollAnswer> {
-    return this.#call(timeoutMs, (worker) => worker.answerPoll(req))
+    return this.#call('poll', req.token, timeoutMs, (worker) => worker.answerPoll(req))
   }
 
   start (req: StartRequest, timeoutMs: Millis): Promise<OrderAnswer> {
-    return this.#call(timeoutMs, (worker) => worker.carryOutStart(req))
+    return this.#call(`start of run ${req.run} of ${req.task}`, req.token, timeoutMs, (worker) => worker.carryOutStart(req))
   }
 
   stop (req: StopRequest, timeoutMs: Millis): Promise<OrderAnswer> {
-    return this.#call(timeoutMs, (worker) => worker.carryOutStop(req))
+    return this.#call(`stop of run ${req.run} of ${req.task}`, req.token, timeoutMs, (worker) => worker.carryOutStop(req))
   }
 
   pace (): Promise<OrderAnswer> {
@@ -37,8 +37,8 @@
 
   close (): void {}
 
-  async #call<T> (timeoutMs: Millis, run: (worker: SimWorker) => Promise<T> | T): Promise<T> {
-    const { clock, random, faults, variant } = this.#callWorld
+  async #call<T> (name: string, token: number, timeoutMs: Millis, run: (worker: SimWorker) => Promise<T> | T): Promise<T> {
+    const { clock, random, faults, variant, trace } = this.#callWorld
     const isReached = this.findReceiver().isReachable
     const chance = random.next()
     await clock.sleep(CALL_LATENCY_MS)
@@ -52,7 +52,9 @@
       const { lateDelayMs: [minDelay, maxDelay], doLateCallsOutlive } = variant ?? PLAIN_VARIANT
       void clock.sleep(isLate ? minDelay + (maxDelay - minDelay) * random.next() : 0).then(() => {
         const receiver = doLateCallsOutlive ? this.findReceiver() : worker
-        return receiver.isDead ? undefined : run(receiver)
+        if (receiver.isDead) return undefined
+        if (isLate) trace?.(`a ${name} with token ${token} arrives late at incarnation ${receiver.born}`)
+        return run(receiver)
       })
     }
     await clock.sleep(timeoutMs)
--- a/src/batch/fuzz/simFleet.ts
+++ b/src/batch/fuzz/simFleet.ts
@@ -20,9 +20,6 @@
 
 const TICK_MS: Millis = 20
 
-/** Longest lease that a worker grants. */
-export const MAX_LEASE_MS: Millis = 6000
-
 /** Start-up time of a long-running task. */
 const LONG_RUNNING_START_MS: Millis = 200
 
@@ -49,6 +46,7 @@
   readonly #runs = new Map<string, SimRun>()
   readonly #revokedRuns = new Map<string, number>()
   readonly #ends = new SimEnds()
+  readonly #listedRuns = new Set<string>()
   #token = 0
   /** On the worker's clock. */
   #leaseEnd: Millis = 0
@@ -124,13 +122,14 @@
     const { clock, gangs, getStep } = this.#world
     this.#expireLeaseAtCall()
     if (req.token < this.#token) return { refusal: 'fenced' as const }
-    this.#token = req.token
+    this.#learnToken(req.token)
     if (req.leaseEndMs !== null) this.#renewLease(req.leaseEndMs)
     this.#acknowledge(req.acknowledgedSeq)
     const until = clock.now() + req.waitMs
     while (this.#ends.openCount === 0 && clock.now() < until && !this.#isDead) await clock.sleep(TICK_MS)
     const now = clock.now()
     const running = [...this.#runs].map(([task, { run, startedAt, endsAt }]) => ({ task, run, checkpoint: '', percent: gangs?.getPercent(task, run) ?? computePercent(now - startedAt, getStep(task).isLasting ? LONG_RUNNING_START_MS : endsAt - startedAt), load: null }))
+    for (const { task, run } of running) this.#traceListed(task, run)
     const ended = this.#ends.list(this.#variant.endsPerAnswer)
     return { refusal: null, clockMs: this.clockMs, born: this.born, running, ended, hasMoreEnds: ended.length < this.#ends.openCount }
   }
@@ -139,8 +138,8 @@
   carryOutStart (req: StartRequest): OrderAnswer {
     const { clockMs } = this
     this.#expireLeaseAtCall()
-    if (req.token < this.#token) return { refusal: 'fenced', clockMs }
-    this.#token = req.token
+    if (req.token < this.#token) return this.#fence(`run ${req.run} of ${req.task}`, req.token)
+    this.#learnToken(req.token)
     if (req.leaseEndMs < clockMs) return { refusal: 'late', clockMs }
     this.#renewLease(req.leaseEndMs)
     if (this.#runs.get(req.task)?.run === req.run) return { refusal: null, clockMs }
@@ -153,16 +152,16 @@
   /** Carries out a stop. The run may go on for a short time, and end as done within it. */
   carryOutStop ({ token, task, run }: StopRequest): OrderAnswer {
     const { clock, random } = this.#world
-    const { stopGraceMs } = this.#variant
+    const { shortestStopMs, stopGraceMs } = this.#variant
     const { clockMs } = this
     this.#expireLeaseAtCall()
-    if (token < this.#token) return { refusal: 'fenced', clockMs }
-    this.#token = token
+    if (token < this.#token) return this.#fence(`a stop of run ${run} of ${task}`, token)
+    this.#learnToken(token)
     const running = this.#runs.get(task)
-    this.#trace(`is told to stop run ${run} of ${task}`)
+    this.#trace(`is told to stop run ${run} of ${task} with token ${token}`)
     if (running !== undefined && running.run <= run) {
       if (stopGraceMs === 0) this.endRun(task, 'stopped')
-      else clock.after(stopGraceMs * random.next(), () => { if (this.#runs.get(task) === running) this.endRun(task, 'stopped') })
+      else clock.after(random.nextBetween([shortestStopMs, stopGraceMs]), () => { if (this.#runs.get(task) === running) this.endRun(task, 'stopped') })
     }
     this.#revokedRuns.set(task, Math.max(this.#revokedRuns.get(task) ?? 0, run))
     return { refusal: null, clockMs }
@@ -189,11 +188,28 @@
   }
 
   #renewLease (leaseEndMs: Millis): void {
-    const longestEnd = this.clockMs + MAX_LEASE_MS
+    const longestEnd = this.clockMs + this.#variant.maxLeaseMs
     if (leaseEndMs > longestEnd) this.#trace(`shortens a lease of ${leaseEndMs - this.clockMs} ms`)
     this.#leaseEnd = Math.max(this.#leaseEnd, Math.min(leaseEndMs, longestEnd))
   }
 
+  #fence (order: string, token: number): OrderAnswer {
+    this.#trace(`refuses ${order}: token ${token} is below ${this.#token}`)
+    return { refusal: 'fenced', clockMs: this.clockMs }
+  }
+
+  #learnToken (token: number): void {
+    if (token > this.#token) this.#trace(`learns token ${token}`)
+    this.#token = token
+  }
+
+  #traceListed (task: string, run: number): void {
+    const name = `run ${run} of ${task}`
+    if (this.#listedRuns.has(name)) return
+    this.#listedRuns.add(name)
+    this.#trace(`lists ${name}`)
+  }
+
   /** Forgets the ends up to a number, listed or not. */
   #acknowledge (acknowledgedSeq: number): void {
     for (const { ended: { task, run }, done, isListed, isLapsed } of this.#ends.acknowledge(acknowledgedSeq)) {
@@ -208,15 +224,19 @@
     return `incarnation ${this.born} at ${this.address}`
   }
 
+  #describeRun (task: string): string {
+    return `run ${this.#runs.get(task)?.run} on ${this.#name}`
+  }
+
   #trace (event: string): void {
     this.#world.trace?.(`${this.#name} ${event}`)
   }
 
-  #beginRun ({ task, run }: StartRequest): void {
-    this.#trace(`starts run ${run} of ${task}`)
+  #beginRun ({ task, run, token }: StartRequest): void {
+    this.#trace(`starts run ${run} of ${task} with token ${token}, and holds a lease for ${Math.round(this.#leaseEnd - this.clockMs)} ms`)
     const { clock, violations, runningOn, finishedTasks, oracle, gangs, getStep } = this.#world
     const others = runningOn.get(task) ?? new Set()
-    if (others.size > 0) violations.push(`${task} is started while it is already running`)
+    if (others.size > 0) violations.push(`${task} is started while it is already running: run ${run} on ${this.#name}, beside ${[...others].map((other) => other.#describeRun(task)).join(', ')}`)
     if (oracle !== undefined) oracle.recordStart(task, run, this.#name)
     else if (finishedTasks.has(task)) violations.push(`${task} is started after its end was acknowledged`)
     runningOn.set(task, others.add(this))
--- a/src/batch/fuzz/simRelays.ts
+++ b/src/batch/fuzz/simRelays.ts
@@ -10,6 +10,9 @@
 const LATENCY_MS: Millis = 1
 const RESUME_CHECK_INTERVAL_MS: Millis = 20
 
+/** Calls that a relay makes later than this are printed. */
+const MAX_PROMPT_MS: Millis = 100
+
 /** `paused`: it makes the calls that it has received when it runs again; `cutOff`: no calls and answers pass; `down`: it refuses connections. */
 type RelayPhase = 'running' | 'paused' | 'cutOff' | 'down'
 
@@ -29,6 +32,7 @@
 export class SimRelays {
   readonly #clock: ManualClock
   readonly #random: Random
+  readonly #trace: (event: string) => void
   readonly #relays = new Map<string, SimRelay>()
 
   /**
@@ -36,10 +40,12 @@
    * @param random - source of faults
    * @param connect - creates the client of a worker
    * @param count - number of relays
+   * @param trace - prints late calls
    */
-  constructor (clock: ManualClock, random: Random, connect: ConnectWorkerAddress, count: number) {
+  constructor (clock: ManualClock, random: Random, connect: ConnectWorkerAddress, count: number, trace: (event: string) => void) {
     this.#clock = clock
     this.#random = random
+    this.#trace = trace
     for (let i = 0; i < count; i++) this.#relays.set(`relay-${i}`, new SimRelay(clock, connect))
   }
 
@@ -81,6 +87,7 @@
 
   async #call (relay: SimRelay, req: RelayRequest, timeoutMs: Millis): Promise<unknown> {
     let isOver = false
+    const sentAt = this.#clock.now()
     const timedOut = this.#clock.sleep(timeoutMs).then(() => {
       isOver = true
       throw new ConnectionLostError('no answer')
@@ -90,6 +97,8 @@
     if (relay.phase === 'down') throw new NotConnectedError('refused')
     if (relay.phase === 'cutOff') return await timedOut
     while (relay.phase === 'paused') await this.#clock.sleep(RESUME_CHECK_INTERVAL_MS)
+    const lateMs = this.#clock.now() - sentAt
+    if (lateMs > MAX_PROMPT_MS) this.#trace(`a relay that was paused makes a call ${lateMs} ms after it was sent: ${describeCall(req)}`)
     // A call that a paused process has received is made when it runs again, also after the caller has given it up.
     const making = relay.relay.make(req)
     if (isOver) return await timedOut
@@ -97,3 +106,7 @@
     return relay.phase === 'running' ? answer : await timedOut
   }
 }
+
+function describeCall ({ worker: { id }, call, req }: RelayRequest): string {
+  return `${call}${'run' in req ? ` of run ${req.run} of ${req.task}` : ''} to ${id} with token ${req.token}`
+}
--- a/src/batch/fuzz/simVariant.ts
+++ b/src/batch/fuzz/simVariant.ts
@@ -16,7 +16,13 @@
 
 /** What a simulation does beside the faults of all variants. A share of 0 draws no random numbers. */
 export interface SimVariant {
+  /** Number of workers. */
+  readonly workers: number
   readonly faultPhaseMs: Millis
+  /** Longest time after the last fault until all jobs have ended. */
+  readonly recoveryPhaseMs: Millis
+  /** Probability for each step of the simulation that a job is submitted. */
+  readonly submitChance: number
   readonly faults: CallFaults
   /** Delay of late calls. */
   readonly lateDelayMs: MillisRange
@@ -26,6 +32,19 @@
   readonly restartChance: number
   /** Time for which a restarted worker is away; 0 draws no random number. */
   readonly restartMs: MillisRange
+  /** Probability for each step of the simulation that several workers crash at the same moment. */
+  readonly jointRestartChance: number
+  /** Fewest and most workers that crash then. */
+  readonly jointRestarts: readonly [min: number, max: number]
+  /** Share of these crashes about which the leader changes. */
+  readonly leaderChangeShare: number
+  /** Time from a restart to the first report; 0 draws no random number. */
+  readonly firstReportMs: MillisRange
+  /** Share of the restarted workers that are cut off soon after. */
+  readonly cutOffShare: number
+  /** Time from the restart to that. */
+  readonly cutOffDelayMs: MillisRange
+  readonly cutOffMs: MillisRange
   /** Whether reports of a crashed worker still arrive until its next incarnation has begun. */
   readonly hasLateReports: boolean
   /** Share of the restarted workers that keep their address, so that late calls to the earlier incarnation reach the next one. */
@@ -39,7 +58,10 @@
   readonly slowestClockRate: number | null
   /** Whether a lease that has expired by the time of a call is over even if the worker has not looked at it since. */
   readonly isLeaseExact: boolean
-  /** Longest time between the confirmation of a stop and the end of the run. */
+  /** Longest lease that workers grant. */
+  readonly maxLeaseMs: Millis
+  /** Shortest and longest time between the confirmation of a stop and the end of the run. */
+  readonly shortestStopMs: Millis
   readonly stopGraceMs: Millis
   /** Maximum number of run ends in an answer to a long poll. */
   readonly endsPerAnswer: number
@@ -48,6 +70,8 @@
   /** Number of times that a phase of faults is followed by a calm one; 0 for one phase of faults and none of calm. */
   readonly rounds: number
   readonly calmPhaseMs: Millis
+  /** Share of the jobs whose first step takes seconds. */
+  readonly longShare: number
   /** Share of the jobs whose first step names a rack, or is a gang that prefers one; tasks wait for near places only when it is above 0. */
   readonly nearShare: number
   /** Share of the jobs that are long-running. */
@@ -72,12 +96,22 @@
 
 /** Jobs of single tasks, and workers on the clock of the simulation. */
 export const PLAIN_VARIANT: SimVariant = {
+  workers: 4,
   faultPhaseMs: 12_000,
+  recoveryPhaseMs: 60_000,
+  submitChance: 0.3,
   faults: { requestLost: 0.04, answerLost: 0.04, late: 0.03 },
   lateDelayMs: [2500, 5000],
   doLateCallsOutlive: false,
   restartChance: 0.02,
   restartMs: [0, 0],
+  jointRestartChance: 0,
+  jointRestarts: [0, 0],
+  leaderChangeShare: 0,
+  firstReportMs: [0, 0],
+  cutOffShare: 0,
+  cutOffDelayMs: [0, 0],
+  cutOffMs: [0, 0],
   hasLateReports: true,
   keptAddressShare: 0,
   gangShare: 0,
@@ -85,11 +119,14 @@
   silenceMs: [0, 0],
   slowestClockRate: null,
   isLeaseExact: false,
+  maxLeaseMs: 6000,
+  shortestStopMs: 0,
   stopGraceMs: 0,
   endsPerAnswer: Number.POSITIVE_INFINITY,
   maxAttempts: 50,
   rounds: 0,
   calmPhaseMs: 0,
+  longShare: 0,
   nearShare: 0,
   lastingShare: 0,
   lastingFailureShare: 0,
@@ -142,6 +179,7 @@
 
 /** Gangs, silences of about the length of a lease, slow clocks, very late calls, and restarts at the same address. */
 export const GANG_VARIANT: SimVariant = {
+  ...PLAIN_VARIANT,
   faultPhaseMs: 20_000,
   faults: { requestLost: 0.03, answerLost: 0.04, late: 0.05 },
   lateDelayMs: [2000, 12_000],
@@ -156,17 +194,42 @@
   slowestClockRate: 0.98,
   isLeaseExact: true,
   stopGraceMs: 200,
+  endsPerAnswer: 3
+}
+
+/** Several workers that crash together, are back at their addresses before that is known, and are cut off soon after. No call is late, but for those of paused relays. */
+export const RESTART_VARIANT: SimVariant = {
+  ...PLAIN_VARIANT,
+  workers: 6,
+  submitChance: 0.25,
+  faultPhaseMs: 24_000,
+  recoveryPhaseMs: 300_000,
+  faults: { requestLost: 0.02, answerLost: 0.03, late: 0 },
+  doLateCallsOutlive: true,
+  restartChance: 0.005,
+  restartMs: [100, 700],
+  jointRestartChance: 0.04,
+  jointRestarts: [2, 4],
+  leaderChangeShare: 0.4,
+  firstReportMs: [0, 600],
+  cutOffShare: 0.6,
+  cutOffDelayMs: [100, 2000],
+  cutOffMs: [2000, 10_000],
+  hasLateReports: false,
+  keptAddressShare: 1,
+  gangShare: 0.15,
+  slowestClockRate: 0.98,
+  isLeaseExact: true,
+  shortestStopMs: 200,
+  stopGraceMs: 900,
   endsPerAnswer: 3,
-  maxAttempts: 50,
-  rounds: 0,
-  calmPhaseMs: 0,
-  nearShare: 0,
-  lastingShare: 0,
-  lastingFailureShare: 0,
-  hopelessShare: 0,
-  goneShare: 0,
-  illnessChance: 0,
-  illnessMs: [0, 0],
-  caps: [],
-  capChangeChance: 0
+  longShare: 0.25,
+  lastingShare: 0.1,
+  lastingFailureShare: 0.1
 }
+
+/** The same with workers that allow longer leases. */
+export const RESTART_LONG_LEASE_VARIANT: SimVariant = { ...RESTART_VARIANT, maxLeaseMs: 10_000 }
+
+/** The same with calls that are late on their way to the workers. */
+export const RESTART_LATE_VARIANT: SimVariant = { ...RESTART_VARIANT, faults: { ...RESTART_VARIANT.faults, late: 0.05 }, lateDelayMs: [300, 12_000] }
--- a/src/batch/fuzz/simWorkers.ts
+++ b/src/batch/fuzz/simWorkers.ts
@@ -8,7 +8,6 @@
 import type { MillisRange, SimVariant } from './simVariant.js'
 import type { SimWorld } from './simWorld.js'
 
-const WORKERS = 4
 const CPU_CAPACITY = 4000
 
 /** Number of racks that the workers are spread over. */
@@ -22,6 +21,7 @@
   readonly #world: SimWorld
   readonly #variant: SimVariant
   readonly #incarnations: SimWorker[] = []
+  readonly #firstReportAt = new WeakMap<SimWorker, Millis>()
 
   /**
    * @param world - state shared by all workers
@@ -39,7 +39,7 @@
 
   /** Starts the first incarnation of each worker. */
   startAll (): void {
-    for (let i = 0; i < WORKERS; i++) this.#startIncarnation(i)
+    for (let i = 0; i < this.#variant.workers; i++) this.#startIncarnation(i)
   }
 
   /** Connects to the address of a worker, where another incarnation may answer later. */
@@ -51,7 +51,7 @@
   restartOne (): void {
     const { random } = this.#world
     const { restartMs } = this.#variant
-    const i = random.nextInt(WORKERS)
+    const i = random.nextInt(this.#variant.workers)
     const worker = this.#findLatest(i)
     if (restartMs[1] === 0 || worker === undefined) {
       this.#startIncarnation(i)
@@ -62,6 +62,17 @@
     }
   }
 
+  /** Crashes several workers at the same moment, each of which is back some time later. */
+  restartSeveral (): void {
+    const { random } = this.#world
+    const { workers: total, jointRestarts: [fewest, most], restartMs } = this.#variant
+    const first = random.nextInt(total)
+    const count = fewest + random.nextInt(most - fewest + 1)
+    const workers = Array.from({ length: count }, (_, i) => this.#findLatest((first + i) % total)).filter((worker) => worker?.isDead === false) as SimWorker[]
+    for (const worker of workers) worker.crash()
+    for (const worker of workers) this.#restartLater(worker, restartMs)
+  }
+
   /** @param worker - an incarnation that a task has crashed */
   restartCrashed (worker: SimWorker): void {
     this.#restartLater(worker, RESTART_MS)
@@ -75,14 +86,14 @@
   /** Makes some worker silent. */
   silenceOne (): void {
     const { random } = this.#world
-    const worker = this.#findLatest(random.nextInt(WORKERS))
+    const worker = this.#findLatest(random.nextInt(this.#variant.workers))
     worker?.condition.fallSilent(random.next() < 0.5 ? 'answers' : 'both', random.nextBetween(this.#variant.silenceMs))
   }
 
   /** Makes some worker ill. */
   infectOne (): void {
     const { random } = this.#world
-    this.#findLatest(random.nextInt(WORKERS))?.condition.fallIll(random.next() < 0.5 ? 'refusing' : 'failing', random.nextBetween(this.#variant.illnessMs))
+    this.#findLatest(random.nextInt(this.#variant.workers))?.condition.fallIll(random.next() < 0.5 ? 'refusing' : 'failing', random.nextBetween(this.#variant.illnessMs))
   }
 
   /** Ends all partitions, silences and illnesses. */
@@ -101,9 +112,10 @@
    */
   async report (registry: WorkerRegistry): Promise<void> {
     const { clock } = this.#world
-    for (let i = 0; i < WORKERS; i++) {
+    for (let i = 0; i < this.#variant.workers; i++) {
       const incarnation = this.#findLatest(i)
       if (incarnation === undefined || incarnation.isCutOff) continue
+      if (clock.now() < (this.#firstReportAt.get(incarnation) ?? 0)) continue
       if (incarnation.isDead && !this.#variant.hasLateReports) continue
       const { isDraining: _, ...record } = createWorker(`w${i}`, { born: incarnation.born, address: incarnation.address, labels: ['a', `r${i % RACKS}`], room: { cpu: CPU_CAPACITY, memory: 100_000, accelerators: 0 } })
       void registry.report({ ...record, state: 'ready', drainLeftMs: null, sequence: clock.now() }).catch(() => {})
@@ -115,9 +127,22 @@
   #startIncarnation (i: number): void {
     const previous = this.#findLatest(i)
     previous?.crash()
-    const born = (this.#incarnations.length + 1) * WORKERS + i
+    const born = (this.#incarnations.length + 1) * this.#variant.workers + i
     const address = previous !== undefined && this.#world.random.isBelow(this.#variant.keptAddressShare) ? previous.address : formatAddress(born)
-    this.#incarnations.push(new SimWorker(this.#world, born, CPU_CAPACITY, address, this.#createWorkerClock()))
+    const worker = new SimWorker(this.#world, born, CPU_CAPACITY, address, this.#createWorkerClock())
+    this.#incarnations.push(worker)
+    if (previous !== undefined) this.#impairReturn(worker)
+  }
+
+  /** Delays the first report of a worker that has restarted, and cuts it off soon after. */
+  #impairReturn (worker: SimWorker): void {
+    const { clock, random } = this.#world
+    const { firstReportMs, cutOffShare, cutOffDelayMs, cutOffMs } = this.#variant
+    if (firstReportMs[1] > 0) this.#firstReportAt.set(worker, clock.now() + random.nextBetween(firstReportMs))
+    if (!random.isBelow(cutOffShare)) return
+    clock.after(random.nextBetween(cutOffDelayMs), () => {
+      if (!worker.isDead) worker.condition.fallSilent(random.next() < 0.5 ? 'answers' : 'both', random.nextBetween(cutOffMs))
+    })
   }
 
   #createWorkerClock (): () => Millis {
@@ -132,14 +157,14 @@
   /** Restarts a worker some time after its crash, unless it was restarted before. */
   #restartLater (worker: SimWorker, range: MillisRange): void {
     const { clock, random } = this.#world
-    const i = worker.born % WORKERS
+    const i = worker.born % this.#variant.workers
     void clock.sleep(random.nextBetween(range)).then(() => {
       if (this.#findLatest(i) === worker) this.#startIncarnation(i)
     })
   }
 
   #findLatest (i: number): SimWorker | undefined {
-    return this.#incarnations.findLast(({ born }) => born % WORKERS === i)
+    return this.#incarnations.findLast(({ born }) => born % this.#variant.workers === i)
   }
 }
 
--- a/src/batch/fuzz/simulation.ts
+++ b/src/batch/fuzz/simulation.ts
@@ -21,21 +21,22 @@
 import { EndOracle, type Violation } from './endOracle.js'
 import { LastingOracle } from './lastingOracle.js'
 import { Random } from './random.js'
-import { MAX_LEASE_MS } from './simFleet.js'
 import { drawSteps } from './simJobs.js'
 import { createStepLookup } from './simSteps.js'
 import type { SimWorld } from './simWorld.js'
 import { SimGangs } from './simGang.js'
 import { SimRelays } from './simRelays.js'
-import { NO_FAULTS, PLAIN_VARIANT, type SimVariant } from './simVariant.js'
+import { NO_FAULTS, PLAIN_VARIANT, type MillisRange, type SimVariant } from './simVariant.js'
 import { SimWorkers } from './simWorkers.js'
 
 const RELAYS = 3
-const RECOVERY_PHASE_MS = 60_000
 const STEP_MS = 100
 
 const COMMIT_MS = 6
 
+/** Bounds of the time from the crash of several workers to the change of the leader. */
+const LEADER_CHANGE_MS: MillisRange = [0, 2500]
+
 /** Tells the waits how much longer far runs take; the runs of the simulation don't. */
 const REMOTE_PENALTY = 3
 
@@ -71,6 +72,7 @@
     this.#variant = variant
     const getStep = createStepLookup(this.#steps)
     const violations: Violation[] = []
+    const printEvent = (event: string): void => { printLog(`${this.clock.now()} ${event}`) }
     this.world = {
       crashingTasks: new Set(),
       hopelessJobs: new Set(),
@@ -86,12 +88,12 @@
       getStep,
       runningOn: new Map(),
       finishedTasks: new Set(),
-      trace: (event) => { printLog(`${this.clock.now()} ${event}`) },
+      trace: printEvent,
       faults: NO_FAULTS
     }
     this.#workers = new SimWorkers(this.world, variant)
     this.#lastingOracle = new LastingOracle(this.clock, this.world, violations, (task) => this.#describeTask(task))
-    this.#relays = new SimRelays(this.clock, this.#random, (worker) => this.#workers.connect(worker), RELAYS)
+    this.#relays = new SimRelays(this.clock, this.#random, (worker) => this.#workers.connect(worker), RELAYS, printEvent)
     if (variant.caps.length > 0) this.world.capOracle = new CapOracle(this.clock, this.world, violations)
     this.#configure(variant.caps)
     this.#workers.startAll()
@@ -124,7 +126,7 @@
     this.#relays.announceTerm(term)
     const router = new RelayRouter(this.clock, log, () => this.#relays.listMembers(term))
     const deps = { links: this.#relays.links, router, connect: (worker: WorkerAddress) => this.#workers.connect(worker), mayOrder: context.mayOrder, metrics: context.metrics, term }
-    const registry = new WorkerRegistry(context, { connect: (record) => new RelayedWorkerCalls(workerKey(record), record, deps), countCallers: () => router.countCallers(), maxLeaseMs: MAX_LEASE_MS }, () => { workNotifier.notify() })
+    const registry = new WorkerRegistry(context, { connect: (record) => new RelayedWorkerCalls(workerKey(record), record, deps), countCallers: () => router.countCallers(), maxLeaseMs: this.#variant.maxLeaseMs }, () => { workNotifier.notify() })
     const stats = new RunStats()
     const runTimes = new RunTimes(REMOTE_PENALTY)
     const placeWait = this.#variant.nearShare > 0 ? new PlaceWait({ clock: this.clock, state: this.state, stats, runTimes, log, metrics: context.metrics }) : undefined
@@ -139,14 +141,14 @@
 
   async simulate (): Promise<void> {
     await this.changeLeader()
-    const { rounds } = this.#variant
+    const { rounds, recoveryPhaseMs } = this.#variant
     for (let round = 0; round < Math.max(1, rounds); round++) {
       await this.#playFaults()
       this.#endFaults()
       if (rounds > 0) await this.#playCalm()
     }
     this.#cancelLasting()
-    for (let at = 0; at < RECOVERY_PHASE_MS && this.state.activeJobs.size > 0; at += STEP_MS) {
+    for (let at = 0; at < recoveryPhaseMs && this.state.activeJobs.size > 0; at += STEP_MS) {
       await this.#reportAll()
       await this.clock.advance(STEP_MS)
     }
@@ -198,9 +200,10 @@
 
   #injectFaults (): void {
     const random = this.#random
-    if (random.next() < 0.3) this.#submit()
+    if (random.next() < this.#variant.submitChance) this.#submit()
     if (random.next() < 0.02) this.#cancel()
     if (random.next() < this.#variant.restartChance) this.#workers.restartOne()
+    if (random.isBelow(this.#variant.jointRestartChance)) this.#restartSeveral()
     if (random.next() < 0.03) this.#workers.togglePartition()
     if (random.next() < 0.08) this.#relays.injectFault()
     if (random.isBelow(this.#variant.capChangeChance)) this.#configure(this.#variant.caps.map((cpu) => cpu === 0 ? 0 : cpu - random.nextInt(2) * cpu / 4))
@@ -209,6 +212,13 @@
     void this.#reportAll()
   }
 
+  /** Restarts several workers together, and changes the leader meanwhile in some cases. */
+  #restartSeveral (): void {
+    this.#workers.restartSeveral()
+    if (!this.#random.isBelow(this.#variant.leaderChangeShare)) return
+    this.clock.after(this.#random.nextBetween(LEADER_CHANGE_MS), () => { void this.changeLeader() })
+  }
+
   #configure (caps: readonly number[]): void {
     const config = createConfig(++this.#version, [createQueue({ maxAttempts: this.#variant.maxAttempts })])
     const workspaces = caps.length === 0 ? null : caps.map((cpu, i) => createWorkspace(`w${i}`, { weight: i + 1, cap: { cpu, memory: 0, accelerators: 0 } }))
