Let workers of the soak restart in the dark and be cut off soon after

Its workers came back with a report at the usual interval, stayed reachable, and ran tasks of 120 ms, too short to meet the next run.

Change: in 30 % of the steps one to three of the four workers lose power at the same moment, are back at their address after 0.3 to 0.7 s, report 0.27 to 0.5 s later and are cut off for 2 to 7 s, after 1 to 2 s or, in 30 % of these cases, before they report. A stop takes 400 ms. Tasks take 60 to 2,000 ms. The choices of both have streams of their own, so that a seed still draws the faults and jobs that it drew before, where its targets are free; its times, and so what it plays, are others. Clients keep their open connections as before.

--- a/integration/soak/faults.ts
+++ b/integration/soak/faults.ts
@@ -1,82 +1,25 @@
 /** Injects the faults of a soak run from outside: signals to the processes, and proxies in front of the workers. */
 import { encodeConfig } from '../../platform/standin/caller.js'
-import { StandInWorker } from '../../platform/standin/worker.js'
 import type { Random } from '../../src/batch/fuzz/random.js'
-import { FaultProxy, type LinkFault } from '../../standins/faultProxy/index.js'
-import type { JobDeployment } from '../jobs/deployment.js'
+import type { LinkFault } from '../../standins/faultProxy/index.js'
+import { LOOPBACK_NETWORK, type JobDeployment } from '../jobs/deployment.js'
+import { ProxiedWorker } from '../jobs/proxiedWorker.js'
 import type { SoakOracle } from './oracle/index.js'
 
-const TASK_MS = 120
+/** Longest time that a stop takes on any deployment. */
+const STOP_GRACE_MS = 400
+
+/** Share of the steps in which workers start again and are cut off soon after, besides the other fault. */
+const CUT_RESTART_SHARE = 0.3
+
+/** Share of these in which the workers are cut off before they report. */
+const EARLY_CUT_SHARE = 0.3
 
 const LINK_FAULTS: readonly LinkFault[] = ['silent', 'silentOld', 'deaf', 'mute', 'refuse', 'reset', 'truncate']
 
 /** Time after which a control process with an emptied disk has caught up. Until then no other control process is disturbed. */
 const CATCH_UP_MS = 6000
 
-/** A stand-in worker behind a proxy, whose link can be disturbed and which can crash and start again. */
-class SoakWorker {
-  readonly #id: string
-  readonly #address: string
-  readonly #proxy: FaultProxy
-  readonly #control: readonly string[]
-  readonly #oracle: SoakOracle
-  #incarnation: StandInWorker | null = null
-
-  constructor (index: number, control: readonly string[], oracle: SoakOracle) {
-    this.#id = `i-${index}`
-    this.#address = `127.0.1.${index + 1}:18570`
-    this.#proxy = new FaultProxy(this.#address)
-    this.#control = control
-    this.#oracle = oracle
-  }
-
-  /** Starts the proxy and the first incarnation of the worker. */
-  async start (): Promise<void> {
-    const reportedAddress = await this.#proxy.start()
-    await this.#startIncarnation(reportedAddress)
-    this.#reportedAddress = reportedAddress
-  }
-
-  #reportedAddress = ''
-
-  async #startIncarnation (reportedAddress: string): Promise<void> {
-    this.#incarnation = new StandInWorker({ id: this.#id, address: this.#address, reportedAddress, service: 'pool', control: this.#control, taskMs: TASK_MS, observer: this.#oracle })
-    await this.#incarnation.start()
-  }
-
-  /**
-   * Crashes the worker and starts its next incarnation.
-   *
-   * @param downtimeMs - pause between the two, in milliseconds
-   */
-  async restart (downtimeMs: number): Promise<void> {
-    this.#incarnation?.crash()
-    this.#incarnation = null
-    await pause(downtimeMs)
-    await this.#startIncarnation(this.#reportedAddress)
-  }
-
-  /**
-   * Disturbs the link to the worker for a while.
-   *
-   * @param fault - how the link misbehaves
-   * @param delayMs - delay of each chunk of data, in milliseconds
-   * @param durationMs - how long the fault lasts, in milliseconds
-   */
-  async injectLinkFault (fault: LinkFault, delayMs: number, durationMs: number): Promise<void> {
-    this.#proxy.delayMs = delayMs
-    this.#proxy.setFault(fault)
-    await pause(durationMs)
-    this.#proxy.delayMs = 0
-    this.#proxy.setFault('none')
-  }
-
-  stop (): void {
-    this.#incarnation?.crash()
-    this.#proxy.stop()
-  }
-}
-
 /**
  * Injects random faults, several at a time but at most one per target. All control processes form one target, so that at
  * most one of them is without its data.
@@ -85,7 +28,8 @@
   readonly #deployment: JobDeployment
   readonly #oracle: SoakOracle
   readonly #random: Random
-  readonly #workers: SoakWorker[]
+  readonly #restartRandom: Random
+  readonly #workers: ProxiedWorker[]
   readonly #busyTargets = new Set<string>()
   readonly #pendingFaults = new Set<Promise<void>>()
   /** Names and targets of the faults, in the order in which they began. */
@@ -95,14 +39,16 @@
   /**
    * @param deployment - processes to disturb
    * @param oracle - receives acknowledged configurations and violations
-   * @param random - source of all random choices
+   * @param random - source of the random choices, except for those of `restartRandom`
+   * @param restartRandom - source of the random choices for workers that start again and are cut off
    * @param workerCount - number of stand-in workers to run
    */
-  constructor (deployment: JobDeployment, oracle: SoakOracle, random: Random, workerCount: number) {
+  constructor (deployment: JobDeployment, oracle: SoakOracle, random: Random, restartRandom: Random, workerCount: number) {
     this.#deployment = deployment
     this.#oracle = oracle
     this.#random = random
-    this.#workers = Array.from({ length: workerCount }, (_, i) => new SoakWorker(i, deployment.controlAddresses, oracle))
+    this.#restartRandom = restartRandom
+    this.#workers = Array.from({ length: workerCount }, (_, i) => new ProxiedWorker({ id: `i-${i}`, address: `${LOOPBACK_NETWORK}.1.${i + 1}:18570`, service: 'pool', control: deployment.controlAddresses, taskMs: Number, stopGraceMs: STOP_GRACE_MS, observer: oracle }))
   }
 
   /** Starts the workers. */
@@ -110,8 +56,11 @@
     for (const worker of this.#workers) await worker.start()
   }
 
-  /** Starts a random fault, which ends by itself. Does nothing if its target is under a fault already. */
-  injectRandomFault (): void {
+  /**
+   * Starts a random fault, and at times lets workers start again and be cut off soon after. They end by themselves. Does nothing if a target
+   * is under a fault already.
+   */
+  injectRandomFaults (): void {
     const faultKinds: ReadonlyArray<readonly [name: string, target: string, run: () => Promise<void>]> = [
       ['kill control', 'control', () => this.#restartControl('SIGKILL', false)],
       ['stop control', 'control', () => this.#restartControl('SIGTERM', false)],
@@ -121,16 +70,21 @@
       ['restart entry', 'entry', () => this.#restartEntry()],
       ['change configuration', 'config', () => this.#changeConfig()],
       ...this.#workers.flatMap((worker, i): Array<readonly [string, string, () => Promise<void>]> => [
-        ['restart worker', `worker-${i}`, () => worker.restart(this.#randomBetween(0, 1500))],
-        ['disturb worker', `worker-${i}`, () => worker.injectLinkFault(LINK_FAULTS[Math.floor(this.#random.next() * LINK_FAULTS.length)] as LinkFault, this.#random.next() < 0.3 ? 80 : 0, this.#randomBetween(300, 4000))]
+        ['restart worker', `worker-${i}`, () => this.#restartWorker(worker)],
+        ['disturb worker', `worker-${i}`, () => this.#disturbWorker(worker)]
       ])
     ]
     const [name, target, run] = faultKinds[Math.floor(this.#random.next() * faultKinds.length)] as (typeof faultKinds)[number]
-    if (this.#busyTargets.has(target)) return
-    this.#busyTargets.add(target)
-    this.injectedFaults.push(`${name} ${target}`)
+    this.#inject(name, [target], run)
+    if (this.#restartRandom.isBelow(CUT_RESTART_SHARE)) this.#restartAndCutOff()
+  }
+
+  #inject (name: string, targets: readonly string[], run: () => Promise<void>): void {
+    if (targets.some((target) => this.#busyTargets.has(target))) return
+    for (const target of targets) this.#busyTargets.add(target)
+    this.injectedFaults.push(`${name} ${targets.join(' ')}`)
     const pendingFault = run().catch((err: unknown) => { this.#oracle.violations.push(`${name}: ${(err as Error).message}`) }).finally(() => {
-      this.#busyTargets.delete(target)
+      for (const target of targets) this.#busyTargets.delete(target)
       this.#pendingFaults.delete(pendingFault)
     })
     this.#pendingFaults.add(pendingFault)
@@ -165,6 +119,42 @@
     return low + Math.floor(this.#random.next() * (high - low))
   }
 
+  async #restartWorker (worker: ProxiedWorker): Promise<void> {
+    worker.crash()
+    await pause(this.#randomBetween(0, 1500))
+    await worker.startAgain()
+  }
+
+  async #disturbWorker (worker: ProxiedWorker): Promise<void> {
+    const fault = LINK_FAULTS[Math.floor(this.#random.next() * LINK_FAULTS.length)] as LinkFault
+    worker.disturbLink(fault, this.#random.next() < 0.3 ? 80 : 0)
+    await pause(this.#randomBetween(300, 4000))
+    worker.disturbLink('none')
+  }
+
+  /** Lets one to three workers lose power at the same moment, start again, and be cut off before or soon after they report. */
+  #restartAndCutOff (): void {
+    const random = this.#restartRandom
+    const between = (low: number, high: number): number => low + random.nextInt(high - low)
+    const count = between(1, this.#workers.length)
+    const first = random.nextInt(this.#workers.length)
+    const indices = Array.from({ length: count }, (_, i) => (first + i) % this.#workers.length)
+    const workers = indices.map((i) => this.#workers[i] as ProxiedWorker)
+    const reportDelays = workers.map(() => between(270, 500))
+    const downMs = between(300, 700)
+    const cutAfterMs = random.isBelow(EARLY_CUT_SHARE) ? between(100, 500) : between(1000, 2000)
+    const cutMs = between(2000, 7000)
+    this.#inject('restart and cut off', indices.map((i) => `worker-${i}`), async () => {
+      for (const worker of workers) worker.crashDark()
+      await pause(downMs)
+      await Promise.all(workers.map((worker, i) => worker.startAgain(reportDelays[i])))
+      await pause(cutAfterMs)
+      for (const worker of workers) worker.cutOff()
+      await pause(cutMs)
+      for (const worker of workers) worker.rejoin()
+    })
+  }
+
   async #restartControl (signal: NodeJS.Signals, shouldDeleteData: boolean): Promise<void> {
     const i = Math.floor(this.#random.next() * 3)
     await this.#deployment.end(`control-${i}`, signal, shouldDeleteData)
--- a/integration/soak/run.ts
+++ b/integration/soak/run.ts
@@ -7,13 +7,17 @@
 import { SoakOracle, type JobOutcome } from './oracle/index.js'
 
 const WORKER_COUNT = 4
-const TASK_MS = 120
+const TASK_MS = { min: 60, max: 2000 } as const
 const MAX_TASKS = 12
 const FIRST_CONFIG_VERSION = 1
 
 const JOB_PAUSE_MS = 120
 const FAULT_PAUSE_MS = 700
 
+/** Offsets of seeds for choices that are independent of the others. */
+const RESTART_STREAM = 1_000_000
+const TASK_LENGTH_STREAM = 2_000_000
+
 const MAX_ATTEMPTS = 4
 const ATTEMPT_TIMEOUT_MS = 3000
 const CANCEL_SHARE = 0.1
@@ -40,16 +44,16 @@
 export async function runSoak (seed: number, seconds: number): Promise<SoakResult> {
   const deployment = new JobDeployment()
   const oracle = new SoakOracle()
-  const faultInjector = new SoakFaultInjector(deployment, oracle, new Random(seed), WORKER_COUNT)
+  const faultInjector = new SoakFaultInjector(deployment, oracle, new Random(seed), new Random(seed + RESTART_STREAM), WORKER_COUNT)
   try {
     await deployment.start()
     await faultInjector.start()
     await deployment.configure(FIRST_CONFIG_VERSION)
     oracle.recordAcknowledgedConfig(FIRST_CONFIG_VERSION)
     const endsAt = Date.now() + seconds * 1000
-    const load = generateLoad(deployment, oracle, new Random(seed + 1), endsAt)
+    const load = generateLoad(deployment, oracle, new Random(seed + 1), new Random(seed + TASK_LENGTH_STREAM), endsAt)
     while (Date.now() < endsAt) {
-      faultInjector.injectRandomFault()
+      faultInjector.injectRandomFaults()
       await faultInjector.checkShownConfigs()
       await pause(FAULT_PAUSE_MS)
     }
@@ -66,21 +70,21 @@
 }
 
 /** Submits jobs until `endsAt` (milliseconds since the Unix epoch) and waits until all submissions are settled. */
-async function generateLoad (deployment: JobDeployment, oracle: SoakOracle, random: Random, endsAt: number): Promise<void> {
+async function generateLoad (deployment: JobDeployment, oracle: SoakOracle, random: Random, lengthRandom: Random, endsAt: number): Promise<void> {
   const submissions: Array<Promise<void>> = []
   for (let jobNumber = 1; Date.now() < endsAt; jobNumber++) {
-    submissions.push(submitJob(deployment, oracle, jobNumber.toString(16).padStart(16, '0'), 1 + Math.floor(random.next() * MAX_TASKS), random.next() < CANCEL_SHARE))
+    submissions.push(submitJob(deployment, oracle, jobNumber.toString(16).padStart(16, '0'), 1 + Math.floor(random.next() * MAX_TASKS), random.next() < CANCEL_SHARE, Math.round(TASK_MS.min * (TASK_MS.max / TASK_MS.min) ** lengthRandom.next())))
     await pause(JOB_PAUSE_MS)
   }
   await Promise.all(submissions)
 }
 
 /** Submits a job with retries, records what its caller learned, and cancels the job if asked to. */
-async function submitJob (deployment: JobDeployment, oracle: SoakOracle, id: string, tasks: number, shouldCancel: boolean): Promise<void> {
+async function submitJob (deployment: JobDeployment, oracle: SoakOracle, id: string, tasks: number, shouldCancel: boolean, taskMs: number): Promise<void> {
   oracle.expectJob(id, tasks)
   let isRefusalCertain = true
   for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-    const status = await requestStatus(deployment, 'POST', id, encodeJob(tasks, TASK_MS))
+    const status = await requestStatus(deployment, 'POST', id, encodeJob(tasks, taskMs, String(taskMs)))
     if (status === 200) {
       oracle.settle(id, 'accepted')
       break
