--- a/src/workers/runEndQueue/index.ts
+++ b/src/workers/runEndQueue/index.ts
@@ -14,12 +14,26 @@
   #ends: RunEnd[] = []
   #listedSeq = 0
   #acknowledgedSeq = 0
+  #receivedSeq = 0
 
   /** Highest sequence number up to which run ends are committed. */
   get acknowledgedSeq (): number {
     return this.#acknowledgedSeq
   }
 
+  /**
+   * Sequence number to send with the next poll; 0 once the worker has received the last one. The numbers begin anew with each incarnation, so that
+   * the next one would forget ends by a number that is sent again.
+   */
+  get seqToSend (): number {
+    return this.#acknowledgedSeq > this.#receivedSeq ? this.#acknowledgedSeq : 0
+  }
+
+  /** @param seq - sequence number that the worker has received */
+  recordReceived (seq: number): void {
+    this.#receivedSeq = Math.max(this.#receivedSeq, seq)
+  }
+
   /** Whether the worker has listed run ends that are not committed yet. */
   get hasUncommitted (): boolean {
     return this.#listedSeq > this.#acknowledgedSeq
--- a/src/workers/runEndQueue/test.ts
+++ b/src/workers/runEndQueue/test.ts
@@ -26,4 +26,18 @@
     expect(queue.hasUncommitted).to.equal(false)
     expect(queue.acknowledgedSeq).to.equal(4)
   })
+
+  it('sends a number until the worker has received it, since it may mean other ends to the next incarnation (TWICE)', () => {
+    const queue = new RunEndQueue()
+    expect(queue.seqToSend).to.equal(0)
+    queue.takeNew([ended(1), ended(2)])
+    queue.acknowledge(queue.take().listedSeq)
+    expect(queue.seqToSend).to.equal(2)
+    expect(queue.seqToSend).to.equal(2)
+    queue.recordReceived(2)
+    expect(queue.seqToSend).to.equal(0)
+    queue.takeNew([ended(3)])
+    queue.acknowledge(queue.take().listedSeq)
+    expect(queue.seqToSend).to.equal(3)
+  })
 })
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -269,7 +269,7 @@
   async #poll (leaseEndMs: Millis | null, waitMs: Millis): Promise<void> {
     const ticket = this.contact.recordPoll(waitMs)
     // The next incarnation may answer a worker's calls after a silence, and its ends have the same numbers.
-    const acknowledgedSeq = this.contact.isInDoubt ? 0 : this.#runEnds.acknowledgedSeq
+    const acknowledgedSeq = this.contact.isInDoubt ? 0 : this.#runEnds.seqToSend
     const result = await this.poller.poll({ token: this.#context.token, acknowledgedSeq, leaseEndMs, waitMs })
     if (result.kind === 'wrongWorker') {
       this.markGone(WRONG_WORKER)
@@ -281,6 +281,7 @@
     }
     const wasLive = this.isLive
     this.contact.recordAnswer(ticket)
+    this.#runEnds.recordReceived(acknowledgedSeq)
     if (result.kind === 'listed') {
       this.#lease.observe(result.runs.clockMs, this.contact.answeredAt)
       this.#reconcileRuns(result.runs)
