--- a/src/workers/findLossBasis/index.ts
+++ b/src/workers/findLossBasis/index.ts
@@ -5,8 +5,6 @@
  * the next incarnation, whose clock and lease are independent of the earlier ones, and which takes a while to stop the run.
  */
 import type { Millis } from '../../clock/index.js'
-import { MAX_LATE_CALL_MS } from '../constants.js'
-import { computeLongestDuration } from '../leaseClock/index.js'
 import type { RunOrder } from '../runOrder/index.js'
 
 /**
@@ -29,7 +27,7 @@
  * Why a run can no longer be running. `leaseExpired`: its worker has not answered until its lease expired; `workerGone`: the incarnation is gone
  * and its id has not returned; `confirmed`: the incarnation had confirmed the run, which ended with it; `notListedNext`: the next incarnation doesn't
  * list it; `nextLeaseExpired`: the next one has not answered until its lease expired; `waited`: the longest lease has expired that the last call
- * which may start the run can grant to a next incarnation that has never answered.
+ * which may start the run can grant to a next incarnation, and none has answered.
  */
 export type LossBasis = 'leaseExpired' | 'workerGone' | 'confirmed' | 'notListedNext' | 'nextLeaseExpired' | 'waited'
 
@@ -55,8 +53,8 @@
   readonly goneForMs: Millis
   /** The next incarnation; null while none is known or none is left. */
   readonly next: NextIncarnation | null
-  /** Longest lease that workers allow, in milliseconds. */
-  readonly maxLeaseMs: Millis
+  /** Longest time for which a next incarnation that has never answered may run the start, from when this one became known to be gone. */
+  readonly maxWaitMs: Millis
 }
 
 /**
@@ -66,11 +64,11 @@
  * @param start - what is known about the start; an answer to it alone doesn't tell which incarnation gave it
  * @returns null while it may be running
  */
-export function findLossBasis ({ isLeaseExpired, isUnknownNextExpired, isGone, isReincarnated, goneForMs, next, maxLeaseMs }: PlacedIncarnation, start: StartStatus): LossBasis | null {
+export function findLossBasis ({ isLeaseExpired, isUnknownNextExpired, isGone, isReincarnated, goneForMs, next, maxWaitMs }: PlacedIncarnation, start: StartStatus): LossBasis | null {
   if (!isLeaseExpired) return null
   if (!isGone) return start === 'confirmed' || isUnknownNextExpired ? 'leaseExpired' : null
   if (!isReincarnated) return 'workerGone'
   if (start !== 'open') return start
   if (next?.hasListedRuns === true) return next.isLeaseExpired ? 'nextLeaseExpired' : null
-  return goneForMs > MAX_LATE_CALL_MS + computeLongestDuration(maxLeaseMs) ? 'waited' : null
+  return goneForMs > maxWaitMs ? 'waited' : null
 }
--- a/src/workers/lostRunFinder/index.ts
+++ b/src/workers/lostRunFinder/index.ts
@@ -2,7 +2,9 @@
 import type { TermContext } from '../../batch/leader/context.js'
 import { parseTask } from '../../batch/types.js'
 import type { Millis } from '../../clock/index.js'
+import { MAX_LATE_CALL_MS } from '../constants.js'
 import { findLossBasis, startStatusOf, type LossBasis } from '../findLossBasis/index.js'
+import { computeLongestDuration } from '../leaseClock/index.js'
 import type { WorkerSession } from '../session/index.js'
 
 /** A run that can no longer be running. */
@@ -42,18 +44,20 @@
       isGone: session.goneReason !== null,
       isReincarnated: session.isReincarnated,
       goneForMs: session.goneForMs,
-      next: next === undefined ? null : { hasListedRuns: next.poller.hasListedRuns, isLeaseExpired: next.isLeaseExpired },
-      maxLeaseMs: this.#maxLeaseMs
+      next: next === undefined ? null : { hasListedRuns: next.poller.hasListedRuns, isLeaseExpired: next.isLeaseExpired }
     }
+    const longestLeaseMs = computeLongestDuration(this.#maxLeaseMs)
     const { clock, state } = this.#context
     const lost: LostRun[] = []
     for (const [task, { run, placedAt }] of state.runsOn(session.key)) {
       const order = session.orders.get(task)
       const orderOfRun = order?.run === run ? order : undefined
       const start = next !== undefined && next.token > session.token && next.poller.excludesEarlier(task, run) ? 'notListedNext' : startStatusOf(orderOfRun)
-      // A long-running task has to run again within 9 s, which the longest lease would take up.
-      const isUnknownNextExpired = this.#isLasting(task) || session.isUnknownNextExpired(orderOfRun, clock.wall() - placedAt)
-      const basis = findLossBasis({ ...incarnation, isUnknownNextExpired }, start)
+      // A long-running task has to run again within 9 s, which longer waits would take up.
+      const isLasting = this.#isLasting(task)
+      const isUnknownNextExpired = isLasting || session.isUnknownNextExpired(orderOfRun, clock.wall() - placedAt)
+      const maxWaitMs = isLasting ? longestLeaseMs : MAX_LATE_CALL_MS + longestLeaseMs
+      const basis = findLossBasis({ ...incarnation, isUnknownNextExpired, maxWaitMs }, start)
       if (basis !== null) lost.push({ task, run, basis })
     }
     return lost
