--- a/src/batch/fuzz/simulation.ts
+++ b/src/batch/fuzz/simulation.ts
@@ -125,7 +125,7 @@
     const { term } = context
     this.#relays.announceTerm(term)
     const router = new RelayRouter(this.clock, log, () => this.#relays.listMembers(term))
-    const deps = { links: this.#relays.links, router, connect: (worker: WorkerAddress) => this.#workers.connect(worker), mayOrder: context.mayOrder, metrics: context.metrics, term }
+    const deps = { clock: this.clock, links: this.#relays.links, router, connect: (worker: WorkerAddress) => this.#workers.connect(worker), mayOrder: context.mayOrder, metrics: context.metrics, term }
     const registry = new WorkerRegistry(context, { connect: (record) => new RelayedWorkerCalls(workerKey(record), record, deps), countCallers: () => router.countCallers(), maxLeaseMs: this.#variant.maxLeaseMs }, () => { workNotifier.notify() })
     const stats = new RunStats()
     const runTimes = new RunTimes(REMOTE_PENALTY)
--- a/src/batch/leader/index.ts
+++ b/src/batch/leader/index.ts
@@ -89,7 +89,7 @@
     }
     const context: TermContext = { clock, log, metrics, state, term: this.term, holder: deps.id, propose, mayOrder: () => this.mayOrder(), signal: this.#abortController.signal }
     const router = new RelayRouter(clock, log, () => listOtherMembers(replica))
-    const relayedCallsDeps = { links: deps.links, router, connect: deps.connect, mayOrder: () => this.mayOrder(), metrics, term: this.term }
+    const relayedCallsDeps = { clock, links: deps.links, router, connect: deps.connect, mayOrder: () => this.mayOrder(), metrics, term: this.term }
     this.#registry = new WorkerRegistry(context, {
       connect: (worker) => new RelayedWorkerCalls(workerKey(worker), worker, relayedCallsDeps),
       countCallers: () => router.countCallers(),
--- a/src/clock/processClock/index.ts
+++ b/src/clock/processClock/index.ts
@@ -34,13 +34,13 @@
   }
 
   /**
-   * Returns whether a deadline has not passed.
+   * Returns the time left until a deadline.
    *
    * @param deadline - reading of this clock
-   * @returns false also for the reading of another process
+   * @returns milliseconds; 0 when it has passed, or is the reading of another process
    */
-  isBefore (deadline: ClockReading): boolean {
+  timeLeft (deadline: ClockReading): Millis {
     const { process, ms } = this.read()
-    return deadline.process === process && ms <= deadline.ms
+    return deadline.process === process ? Math.max(0, deadline.ms - ms) : 0
   }
 }
--- a/src/clock/processClock/test.ts
+++ b/src/clock/processClock/test.ts
@@ -25,18 +25,18 @@
     const processClock = new ProcessClock(clock)
     const { process, ms } = processClock.read()
     const deadline = { process, ms: ms + 850 }
-    expect(processClock.isBefore(deadline)).to.equal(true)
+    expect(processClock.timeLeft(deadline)).to.equal(850)
     clock.suspendedMs += 600
     await clock.advance(10)
-    expect(processClock.isBefore(deadline)).to.equal(true)
+    expect(processClock.timeLeft(deadline)).to.equal(240)
     clock.suspendedMs += 600
-    expect(processClock.isBefore(deadline)).to.equal(false)
+    expect(processClock.timeLeft(deadline)).to.equal(0)
     expect(processClock.read().ms).to.equal(ms + 1210)
   })
 
-  it('is not before a reading of another process', () => {
+  it('leaves no time until a reading of another process', () => {
     const clock = new ManualClock()
     const { process, ms } = new ProcessClock(clock, 1).read()
-    expect(new ProcessClock(clock, 2).isBefore({ process, ms: ms + 850 })).to.equal(false)
+    expect(new ProcessClock(clock, 2).timeLeft({ process, ms: ms + 850 })).to.equal(0)
   })
 })
--- a/src/workers/constants.ts
+++ b/src/workers/constants.ts
@@ -45,8 +45,8 @@
 /** Time-out of a start, stop or pace order. */
 export const ORDER_TIMEOUT_MS = 700
 
-/** A call that is not delayed arrives within this time, or its sender gives it up. */
-export const MAX_CALL_MS = POLL_WAIT_MS + POLL_TIMEOUT_MS
+/** Time for the way to a relay and back, in addition to the timeout of the call that it makes. */
+export const RELAY_MARGIN_MS = 150
 
 /** A placed run is started, and its start arrives, within this time, unless the start waits behind unanswered ones. */
 export const MAX_START_DELAY_MS = 2000
--- a/src/workers/doubtfulWorkers/test.ts
+++ b/src/workers/doubtfulWorkers/test.ts
@@ -18,9 +18,18 @@
 /** Reading of the clock of the first incarnation when the test begins. */
 const UPTIME_MS = 500_000
 
+/** A clock whose wall clock is ahead of those of earlier leaders. */
+class SteppedClock extends ManualClock {
+  stepMs = 0
+
+  override wall (): number {
+    return super.wall() + this.stepMs
+  }
+}
+
 /** A term of a leader that takes over a state in which a run is placed on one of the workers, or none yet. */
-function createTerm (workers: readonly WorkerRecord[], runOn: string | null, connect: (record: WorkerRecord, clock: ManualClock) => Partial<WorkerCalls>, restartedAgoMs = 0) {
-  const clock = new ManualClock()
+function createTerm (workers: readonly WorkerRecord[], runOn: string | null, connect: (record: WorkerRecord, clock: ManualClock) => Partial<WorkerCalls>, restartedAgoMs = 0, stepMs = 0) {
+  const clock = new SteppedClock()
   const state = new BatchState()
   const end = new AbortController()
   const apply = (command: unknown): unknown => state.apply(0, command as BatchCommand)
@@ -29,6 +38,7 @@
   apply({ type: 'accept', at: 0, jobs: [createJob(JOB, { steps: [createStep()] })] })
   const place = (worker: string, at: number): unknown => apply({ type: 'place', at, placements: [{ task: TASK, run: 1, worker }] })
   if (runOn !== null) place(runOn, clock.wall() - restartedAgoMs)
+  clock.stepMs = stepMs
   const registry = new WorkerRegistry(context, { connect: (record) => ({ close: () => {}, ...connect(record, clock) }) as WorkerCalls, countCallers: () => 4, maxLeaseMs: MAX_WORKER_LEASE_MS }, () => {})
   const start = (worker: string): void => {
     place(worker, clock.wall())
@@ -175,13 +185,37 @@
     stop()
   })
 
-  it('waits for the longest lease of a worker that was lost with the leader that had just placed the run there (TWICE)', async () => {
-    const silent = async (_req: unknown, timeoutMs: number, clock: ManualClock): Promise<never> => {
-      await clock.sleep(timeoutMs)
-      throw new Error('no answer')
-    }
-    const { waitForLoss, stop } = createTerm([createWorker('w')], 'w@1', (_record, clock) => ({ poll: (req, timeoutMs) => silent(req, timeoutMs, clock) }), 2000)
-    expect(await waitForLoss('w@1', 30_000)).to.be.above(MAX_WORKER_LEASE_MS - 2000)
+  for (const stepMs of [0, 15_000]) {
+    it(`waits for the longest lease of a worker that was lost with the leader that had just placed the run there (TWICE)${stepMs === 0 ? '' : ', also when the wall clock of the next leader is ahead'}`, async () => {
+      const { waitForLoss, stop } = createTerm([createWorker('w')], 'w@1', (_record, clock) => ({
+        poll: async (_req: WorkerPollRequest, timeoutMs: number) => {
+          await clock.sleep(timeoutMs)
+          throw new Error('no answer')
+        }
+      }), 500, stepMs)
+      expect(await waitForLoss('w@1', 30_000)).to.be.within(MAX_WORKER_LEASE_MS, MAX_WORKER_LEASE_MS + 3000)
+      stop()
+    })
+  }
+
+  it('frees the runs of an incarnation at once when another worker refuses a stop, whatever its clock reads', async () => {
+    const { clock, sessionOf, start, waitForLoss, stop } = createTerm([createWorker('w')], null, (_record, clock) => ({
+      poll: async (req: WorkerPollRequest) => {
+        await clock.sleep(ANSWER_MS + req.waitMs)
+        return { refusal: null, clockMs: UPTIME_MS + clock.now(), born: 1, running: [], ended: [], hasMoreEnds: false }
+      },
+      start: async (_req, timeoutMs) => {
+        await clock.sleep(timeoutMs)
+        throw new Error('no answer')
+      },
+      stop: async () => ({ refusal: 'wrongWorker' as const, clockMs: 300 })
+    }))
+    await clock.advance(100)
+    start('w@1')
+    await clock.advance(1000)
+    await sessionOf('w@1').stop(TASK, 1)
+    expect(sessionOf('w@1').isReincarnated).to.equal(false)
+    expect(await waitForLoss('w@1', 30_000)).to.equal(100)
     stop()
   })
 
@@ -192,7 +226,7 @@
         throw new Error('no answer')
       }
     }))
-    expect(await waitForLoss('w@1', 30_000)).to.be.above(MAX_LATE_CALL_MS + MAX_WORKER_LEASE_MS)
+    expect(await waitForLoss('w@1', 30_000)).to.be.within(MAX_LATE_CALL_MS + MAX_WORKER_LEASE_MS, MAX_LATE_CALL_MS + MAX_WORKER_LEASE_MS * 1.05)
     stop()
   })
 
--- a/src/workers/leaseClock/index.ts
+++ b/src/workers/leaseClock/index.ts
@@ -1,7 +1,7 @@
 /** Computes when the lease of a worker's runs expires, on the worker's clock and on the leader's. */
 import type { Millis } from '../../clock/index.js'
 import type { WorkerReading } from '../attributeAnswer/index.js'
-import { CLOCK_MARGIN_MS, MAX_CALL_MS, SLOWEST_CLOCK_RATE } from '../constants.js'
+import { CLOCK_MARGIN_MS, RELAY_MARGIN_MS, SLOWEST_CLOCK_RATE } from '../constants.js'
 
 /**
  * Returns for how long a lease may last at most.
@@ -71,10 +71,11 @@
    *
    * @param now - reading of the leader's clock
    * @param durationMs - duration of the lease, in milliseconds
+   * @param timeoutMs - time-out of the call that carries it, in milliseconds
    * @returns when it expires, on the worker's clock
    */
-  grant (now: Millis, durationMs: Millis): Millis {
-    this.#lastArrivalAt = now + MAX_CALL_MS
+  grant (now: Millis, durationMs: Millis, timeoutMs: Millis): Millis {
+    this.#lastArrivalAt = Math.max(this.#lastArrivalAt, now + timeoutMs + RELAY_MARGIN_MS)
     const expiryMs = Math.floor(this.estimate(now) + durationMs)
     this.#latestExpiryMs = Math.max(this.#latestExpiryMs, expiryMs)
     return expiryMs
--- a/src/workers/leaseClock/test.ts
+++ b/src/workers/leaseClock/test.ts
@@ -2,6 +2,7 @@
 import { LeaseClock } from './index.js'
 
 const LEASE_MS = 3000
+const TIMEOUT_MS = 1200
 
 describe('LeaseClock', () => {
   it('assumes until the worker answers that an earlier leader has just granted a full lease', () => {
@@ -11,7 +12,7 @@
   it('waits longer than the lease, because the worker clock may be 2 % slow', () => {
     const lease = new LeaseClock(LEASE_MS, 0)
     lease.observe(500_000, 10)
-    const expiryMs = lease.grant(10, LEASE_MS)
+    const expiryMs = lease.grant(10, LEASE_MS, TIMEOUT_MS)
     expect(expiryMs).to.equal(500_000 + LEASE_MS)
     expect(lease.expiresAt).to.be.above(10 + LEASE_MS / 0.98)
   })
@@ -19,8 +20,8 @@
   it('counts a lease that was sent but not answered', () => {
     const lease = new LeaseClock(LEASE_MS, 0)
     lease.observe(500_000, 0)
-    lease.grant(1000, LEASE_MS)
-    lease.grant(2000, LEASE_MS)
+    lease.grant(1000, LEASE_MS, TIMEOUT_MS)
+    lease.grant(2000, LEASE_MS, TIMEOUT_MS)
     expect(lease.expiresAt).to.be.above(2000 + LEASE_MS)
   })
 
--- a/src/workers/lostRunFinder/index.ts
+++ b/src/workers/lostRunFinder/index.ts
@@ -2,7 +2,7 @@
 import type { TermContext } from '../../batch/leader/context.js'
 import { parseTask } from '../../batch/types.js'
 import type { Millis } from '../../clock/index.js'
-import { MAX_LATE_CALL_MS } from '../constants.js'
+import { LONG_LEASE_MS, MAX_LATE_CALL_MS } from '../constants.js'
 import { findLossBasis, startStatusOf, type LossBasis } from '../findLossBasis/index.js'
 import { computeLongestDuration } from '../leaseClock/index.js'
 import type { WorkerSession } from '../session/index.js'
@@ -16,7 +16,7 @@
 
 /** Lists the runs that are over on workers whose leases have expired. */
 export class LostRunFinder {
-  readonly #context: Pick<TermContext, 'clock' | 'state'>
+  readonly #context: Pick<TermContext, 'state'>
   readonly #maxLeaseMs: Millis
   readonly #sessionsWithId: (id: string) => Iterable<WorkerSession>
 
@@ -25,7 +25,7 @@
    * @param maxLeaseMs - longest lease that workers allow, in milliseconds
    * @param sessionsWithId - returns the sessions with the incarnations under a worker's id
    */
-  constructor (context: Pick<TermContext, 'clock' | 'state'>, maxLeaseMs: Millis, sessionsWithId: (id: string) => Iterable<WorkerSession>) {
+  constructor (context: Pick<TermContext, 'state'>, maxLeaseMs: Millis, sessionsWithId: (id: string) => Iterable<WorkerSession>) {
     this.#context = context
     this.#maxLeaseMs = maxLeaseMs
     this.#sessionsWithId = sessionsWithId
@@ -47,16 +47,16 @@
       next: next === undefined ? null : { hasListedRuns: next.poller.hasListedRuns, isLeaseExpired: next.isLeaseExpired }
     }
     const longestLeaseMs = computeLongestDuration(this.#maxLeaseMs)
-    const { clock, state } = this.#context
+    const { state } = this.#context
     const lost: LostRun[] = []
-    for (const [task, { run, placedAt }] of state.runsOn(session.key)) {
+    for (const [task, { run }] of state.runsOn(session.key)) {
       const order = session.orders.get(task)
       const orderOfRun = order?.run === run ? order : undefined
       const start = next !== undefined && next.token > session.token && next.poller.excludesEarlier(task, run) ? 'notListedNext' : startStatusOf(orderOfRun)
-      // A long-running task has to run again within 9 s, which longer waits would take up.
+      // A long-running task has to run again within 9 s. Longer waits would take these up, so a rare second run is accepted for it.
       const isLasting = this.#isLasting(task)
-      const isUnknownNextExpired = isLasting || session.isUnknownNextExpired(orderOfRun, clock.wall() - placedAt)
-      const maxWaitMs = isLasting ? longestLeaseMs : MAX_LATE_CALL_MS + longestLeaseMs
+      const isUnknownNextExpired = isLasting || session.isUnknownNextExpired(orderOfRun)
+      const maxWaitMs = isLasting ? Math.min(longestLeaseMs, LONG_LEASE_MS) : MAX_LATE_CALL_MS + longestLeaseMs
       const basis = findLossBasis({ ...incarnation, isUnknownNextExpired, maxWaitMs }, start)
       if (basis !== null) lost.push({ task, run, basis })
     }
--- a/src/workers/relay/index.ts
+++ b/src/workers/relay/index.ts
@@ -73,12 +73,14 @@
     if (!Object.hasOwn(WORKER_CALLS, call)) return { kind: 'refused', reason: `unknown call "${call}"` }
     const leaderTerm = term ?? req.token
     if (!this.#mayRelay(leaderTerm)) return { kind: 'refused', reason: `this process does not follow the leader of term ${leaderTerm}` }
-    if (deadline !== undefined && !this.#processClock.isBefore(deadline)) {
+    const timeLeftMs = deadline === undefined ? timeoutMs : Math.min(timeoutMs, this.#processClock.timeLeft(deadline))
+    // Also a reading that is no number is no deadline.
+    if (!(timeLeftMs > 0)) {
       this.#onExpired(call)
       return { kind: 'expired', reason: 'the relay has read the call after its deadline' }
     }
     try {
-      return { kind: 'answered', answer: await WORKER_CALLS[call](this.#callsOf(worker), req, timeoutMs) }
+      return { kind: 'answered', answer: await WORKER_CALLS[call](this.#callsOf(worker), req, timeLeftMs) }
     } catch (err) {
       return { kind: 'unclear', reason: (err as Error).message }
     }
--- a/src/workers/relay/test.ts
+++ b/src/workers/relay/test.ts
@@ -53,13 +53,27 @@
   it('makes no call that its process has read only after the leader had given it up', async () => {
     const { clock, relay, calls, deadlineIn } = createHarness()
     const deadline = deadlineIn(850)
-    await clock.advance(850)
+    await clock.advance(849)
     expect(await relay.make({ ...STOP, deadline })).to.include({ kind: 'answered' })
     await clock.advance(1)
     expect(await relay.make({ ...STOP, deadline })).to.include({ kind: 'expired' })
     expect(calls).to.have.length(1)
   })
 
+  it('gives a call that it has read late only the time that is left', async () => {
+    const clock = new ManualClock()
+    const processClock = new ProcessClock(clock)
+    const timeouts: number[] = []
+    const connect = (): WorkerCalls => ({ stop: async (_req: unknown, timeoutMs: number) => { timeouts.push(timeoutMs); return { refusal: null, clockMs: 5 } }, close: () => {} }) as unknown as WorkerCalls
+    const relay = new WorkerRelay(clock, connect, () => true, processClock)
+    const { process, ms } = processClock.read()
+    const deadline = { process, ms: ms + 850 }
+    await relay.make({ ...STOP, deadline })
+    await clock.advance(600)
+    await relay.make({ ...STOP, deadline })
+    expect(timeouts).to.deep.equal([700, 250])
+  })
+
   it('makes no call whose deadline it can not judge, since it was restarted at its address', async () => {
     const { relay, calls, deadlineIn } = createHarness()
     const { process, ms } = deadlineIn(850)
--- a/src/workers/relayedCalls/index.ts
+++ b/src/workers/relayedCalls/index.ts
@@ -1,15 +1,14 @@
 /** Calls one worker through another control process, or directly while no other process can make the call. */
-import type { Millis } from '../../clock/index.js'
+import type { Clock, Millis } from '../../clock/index.js'
+import { CallTimeoutError } from '../../links/callTimeoutError/index.js'
 import { isCertainlyNotSent, type MsgpackLinks } from '../../links/msgpackLink/index.js'
 import type { Metrics } from '../../metrics/index.js'
+import { RELAY_MARGIN_MS } from '../constants.js'
 import { WORKER_CALLS, type ConnectWorkerAddress } from '../relay/index.js'
 import type { RelayAnswer, RelayRequest, WorkerAddress, WorkerCallName, WorkerCallTypes } from '../relay/types.js'
 import type { RelayRouter } from '../relayRouter/index.js'
 import type { OrderAnswer, PaceRequest, StartRequest, StopRequest, WorkerCalls, WorkerPollAnswer, WorkerPollRequest } from '../types.js'
 
-/** Time for the way to the relay and back, in addition to the timeout of the call that it makes. */
-const RELAY_MARGIN_MS: Millis = 150
-
 /** Relays that are asked to make a call, one after the other, while it is certain that none has made it. */
 const MAX_RELAYS_ASKED = 2
 
@@ -18,6 +17,7 @@
 
 /** Dependencies of {@link RelayedWorkerCalls}. */
 export interface RelayedCallsDeps {
+  readonly clock: Clock
   readonly links: MsgpackLinks
   readonly router: RelayRouter
   readonly connect: ConnectWorkerAddress
@@ -70,14 +70,16 @@
   }
 
   async #call<K extends WorkerCallName> (call: K, req: WorkerCallTypes[K]['req'], timeoutMs: Millis): Promise<WorkerCallTypes[K]['answer']> {
-    const { router, mayOrder } = this.#deps
+    const { clock, router, mayOrder } = this.#deps
+    const until = clock.now() + timeoutMs
     for (let attempt = 0; attempt < MAX_RELAYS_ASKED; attempt++) {
       const relay = this.#isClosed || (attempt > 0 && !mayOrder()) ? null : router.route(this.#key)
       if (relay === null) break
-      const answer = await this.#relay(relay, call, req, timeoutMs)
+      const answer = await this.#relay(relay, call, req, until - clock.now())
       if (answer !== null) return answer
+      if (clock.now() >= until) throw new CallTimeoutError(false)
     }
-    return await this.#callDirectly(call, req, timeoutMs)
+    return await this.#callDirectly(call, req, until - clock.now())
   }
 
   /** Makes a call through a relay. Resolves to null when the call was certainly not made. */
--- a/src/workers/relayedCalls/test.ts
+++ b/src/workers/relayedCalls/test.ts
@@ -28,7 +28,7 @@
   const links = { to: (address: string) => ({ call: (_name: string, req: RelayRequest<'stop'>) => { made.push(address); sent.push(req); return state.reply() } }) } as unknown as MsgpackLinks
   const router = new RelayRouter(clock, new EventLog('test', clock, { writableLength: 0, write: () => {} }), () => ['a', 'b'].map((address) => ({ address, confirmedAt: clock.now(), clock: relayClock })))
   const connect = (): WorkerCalls => ({ stop: () => { made.push('direct'); return Promise.resolve(DONE) }, close: () => {} }) as unknown as WorkerCalls
-  const calls = new RelayedWorkerCalls('w@1', WORKER, { links, router, connect, mayOrder: () => state.mayOrder, metrics: new Metrics(), term: 3 })
+  const calls = new RelayedWorkerCalls('w@1', WORKER, { clock, links, router, connect, mayOrder: () => state.mayOrder, metrics: new Metrics(), term: 3 })
   const stop = () => calls.stop(STOP, TIMEOUT_MS).catch((err: unknown) => err)
   return { clock, relayClock, sent, state, made, calls, stop }
 }
@@ -54,6 +54,18 @@
     }
   })
 
+  it('makes no call after its time-out, however long relays take that do not make it (TWICE)', async () => {
+    const { clock, state, made, stop } = createHarness()
+    state.reply = async () => {
+      await clock.sleep(TIMEOUT_MS)
+      throw new NotConnectedError('no connection')
+    }
+    const answer = stop()
+    await clock.advance(3 * TIMEOUT_MS)
+    expect(await answer).to.be.instanceOf(Error)
+    expect(made).to.deep.equal(['a'])
+  })
+
   it('does not call the worker directly when orders may no longer be sent', async () => {
     const { state, made, stop } = createHarness()
     state.reply = () => {
--- a/src/workers/runControl/index.ts
+++ b/src/workers/runControl/index.ts
@@ -77,6 +77,8 @@
 
   /** Attributes an answer to an incarnation, and tells the session. */
   #attribute (answer: OrderAnswer, reading: WorkerReading | null, sentAt: Millis): AnswerSource {
+    // That another worker answers is known from the refusal.
+    if (answer.refusal === 'wrongWorker') return 'unclear'
     const source = attributeAnswer(answer.clockMs, reading, { sentAt, receivedAt: this.#context.clock.now() })
     this.#listener.onAnswer(answer, source)
     return source
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -15,7 +15,7 @@
 import { RunControl } from '../runControl/index.js'
 import type { LeaveGate } from '../pollGate/index.js'
 import { StartSender } from '../startSender/index.js'
-import { MAX_COMMIT_WAIT_MS, LEASE_MS, LEADER_LEASE_CHECK_MS, MAX_START_DELAY_MS, POLL_WAIT_MS, SURVIVAL_MS } from '../constants.js'
+import { MAX_COMMIT_WAIT_MS, LEASE_MS, LEADER_LEASE_CHECK_MS, MAX_START_DELAY_MS, POLL_TIMEOUT_MS, POLL_WAIT_MS, SURVIVAL_MS } from '../constants.js'
 
 const WRONG_WORKER = 'another worker answers at its address'
 
@@ -114,17 +114,16 @@
 
   /**
    * Returns whether an unconfirmed run can no longer be running on a next incarnation that nobody has heard of. Such an incarnation cuts a lease
-   * in the time of the earlier one down to the longest that workers allow, counted from the call.
+   * in the time of the earlier one down to the longest that workers allow, counted from the call. The starts of earlier leaders are counted from the
+   * start of the session, since the wall clocks of leaders differ.
    *
-   * @param order - the leader's record of the run
-   * @param placedMsAgo - time since its placement on the wall clock, in milliseconds
+   * @param order - the leader's record of the run, if it has sent the start
    */
-  isUnknownNextExpired (order: RunOrder | undefined, placedMsAgo: Millis): boolean {
+  isUnknownNextExpired (order: RunOrder | undefined): boolean {
     const { clock, maxLeaseMs } = this.#context
-    const leaseMs = computeLongestDuration(maxLeaseMs)
-    if (order !== undefined && order.sentAt !== Number.NEGATIVE_INFINITY) return clock.now() > this.#lease.lastArrivalAt + leaseMs
-    const maxAgeMs = MAX_START_DELAY_MS + leaseMs
-    return placedMsAgo > maxAgeMs || clock.now() - this.#openedAt > maxAgeMs
+    const isOwn = order !== undefined && order.sentAt !== Number.NEGATIVE_INFINITY
+    const lastArrivalAt = isOwn ? this.#lease.lastArrivalAt : this.#openedAt + MAX_START_DELAY_MS
+    return clock.now() > lastArrivalAt + computeLongestDuration(maxLeaseMs)
   }
 
   /** Starts that the worker refused in a row because it is overloaded or failing. */
@@ -261,8 +260,9 @@
 
   async #pollOnce (): Promise<void> {
     // Don't renew the lease of a worker that may be gone: each attempt may arrive and would postpone its expiry.
-    const leaseEndMs = !this.#lease.isKnown || this.contact.isInDoubt ? null : this.#lease.grant(this.#context.clock.now(), LEASE_MS)
-    const waitMs = leaseEndMs === null ? 0 : this.#isIdle ? this.#context.idlePollWaitMs() : this.orders.hasOpenTrial ? SURVIVAL_MS : POLL_WAIT_MS
+    const mayRenew = this.#lease.isKnown && !this.contact.isInDoubt
+    const waitMs = !mayRenew ? 0 : this.#isIdle ? this.#context.idlePollWaitMs() : this.orders.hasOpenTrial ? SURVIVAL_MS : POLL_WAIT_MS
+    const leaseEndMs = mayRenew ? this.#lease.grant(this.#context.clock.now(), LEASE_MS, waitMs + POLL_TIMEOUT_MS) : null
     await this.#poll(leaseEndMs, waitMs)
   }
 
@@ -292,7 +292,7 @@
   #reconcileRuns (answer: ListedRuns): void {
     const expected = this.#context.runsOn(this.key)
     for (const end of this.#runEnds.takeNew(answer.ended)) {
-      this.#recordEnd(end.task, end.run, end.outcome, end.checkpoint, expected.has(end.task) ? this.key : this.#context.earlierIncarnationWith(end.task, end.run) ?? this.key)
+      this.#recordEnd(end.task, end.run, end.outcome, end.checkpoint, expected.get(end.task)?.run === end.run ? this.key : this.#context.earlierIncarnationWith(end.task, end.run) ?? this.key)
     }
     const { confirmed, unknown, missing } = compareRuns(expected, answer)
     for (const run of confirmed) this.#observeRun(run, answer.clockMs)
--- a/src/workers/startSender/index.ts
+++ b/src/workers/startSender/index.ts
@@ -1,6 +1,6 @@
 /** Sends the starts of placed runs to one worker, and looks early whether it survives those of suspected tasks. */
 import type { Millis } from '../../clock/index.js'
-import { MAX_CONCURRENT_STARTS, START_LEASE_MS, SURVIVAL_PROBE_DELAYS_MS } from '../constants.js'
+import { MAX_CONCURRENT_STARTS, ORDER_TIMEOUT_MS, START_LEASE_MS, SURVIVAL_PROBE_DELAYS_MS } from '../constants.js'
 import type { LeaseClock } from '../leaseClock/index.js'
 import type { RunControl } from '../runControl/index.js'
 import { createRunOrder, type RunOrder, type RunOrders } from '../runOrder/index.js'
@@ -77,7 +77,7 @@
       return
     }
     if (isTrial) for (const delayMs of SURVIVAL_PROBE_DELAYS_MS) void this.#probeSurvival(task, order, delayMs)
-    await control.start(startOrder, order, (now) => lease.grant(now, START_LEASE_MS))
+    await control.start(startOrder, order, (now) => lease.grant(now, START_LEASE_MS, ORDER_TIMEOUT_MS))
   }
 
   /** Asks whether the worker has survived the start of a suspected task. */
