--- a/src/workers/doubtfulWorkers/test.ts
+++ b/src/workers/doubtfulWorkers/test.ts
@@ -241,6 +241,19 @@
     stop()
   })
 
+  it('frees a run at once when the next incarnation has ended as planned before it answered (LOST, a task waited 22 s)', async () => {
+    const { clock, sessionOf, waitForLoss, stop } = createTerm([createWorker('w', { born: 1 }), createWorker('w', { born: 2 })], 'w@1', (_record, clock) => ({
+      poll: async (_req: WorkerPollRequest, timeoutMs: number) => {
+        await clock.sleep(timeoutMs)
+        throw new Error('no answer')
+      }
+    }))
+    await clock.advance(1000)
+    sessionOf('w@2').markGone('an order to the platform has ended it', true)
+    expect(await waitForLoss('w@1', 30_000)).to.equal(100)
+    stop()
+  })
+
   it('keeps a run that the next incarnation goes on listing since its stops get lost (TWICE)', async () => {
     const { waitForLoss, stop } = createTerm([createWorker('w', { born: 1 }), createWorker('w', { born: 2 })], 'w@1', (_record, clock) => ({
       poll: async (req: WorkerPollRequest) => {
--- a/src/workers/lostRunFinder/index.ts
+++ b/src/workers/lostRunFinder/index.ts
@@ -38,11 +38,13 @@
    * @param session - a worker whose lease has expired
    */
   list (session: WorkerSession): LostRun[] {
-    const next = this.#findNextIncarnation(session)
+    const latest = this.#findLatestIncarnation(session)
+    const next = latest?.goneReason === null ? latest : undefined
     const incarnation = {
       isLeaseExpired: session.isLeaseExpired,
       isGone: session.goneReason !== null,
-      isReincarnated: session.isReincarnated,
+      // Once the latest known incarnation has ended without another one after it, none is left that may run a start.
+      isReincarnated: latest === undefined || next !== undefined ? session.isReincarnated : latest.isReincarnated,
       goneForMs: session.goneForMs,
       next: next === undefined ? null : { hasListedRuns: next.poller.hasListedRuns, isLeaseExpired: next.isLeaseExpired }
     }
@@ -68,10 +70,12 @@
     return position !== null && this.#context.state.data.jobs.get(position.job)?.steps[position.step]?.isLasting === true
   }
 
-  #findNextIncarnation ({ record }: WorkerSession): WorkerSession | undefined {
+  /** Returns the session with the latest incarnation after one, also when that is gone. */
+  #findLatestIncarnation ({ record }: WorkerSession): WorkerSession | undefined {
+    let latest: WorkerSession | undefined
     for (const other of this.#sessionsWithId(record.id)) {
-      if (other.record.born > record.born && other.goneReason === null) return other
+      if (other.record.born > (latest?.record ?? record).born) latest = other
     }
-    return undefined
+    return latest
   }
 }
