Keep the job format of the platform inside platform/ in the incident test

Cause: the load of integration/restartedWorkers spelled the platform's field names itself. Change: encodeSingleStepJob in platform/standin writes the same object. Measured: types and lint pass; the test with real processes was not run again, its requests are byte for byte the same by construction.

--- a/integration/restartedWorkers/incident.ts
+++ b/integration/restartedWorkers/incident.ts
@@ -1,4 +1,5 @@
 /** Plays workers that start again at their address and are cut off soon after, while tasks keep coming, and observes overlapping runs. */
+import { encodeSingleStepJob } from '../../platform/standin/caller.js'
 import type { ObservedRun, WorkerObserver } from '../../platform/standin/worker.js'
 import { Random } from '../../src/batch/fuzz/random.js'
 import { JobDeployment, LOOPBACK_NETWORK, waitUntil } from '../jobs/deployment.js'
@@ -139,7 +140,7 @@
     while (this.#isLoaded) {
       const id = (++this.#jobCount).toString(16).padStart(16, '0')
       const taskMs = Math.round(TASK_MS[0] * (TASK_MS[1] / TASK_MS[0]) ** random.next())
-      const job = JSON.stringify({ spec: String(taskMs), steps: [{ count: 1 + random.nextInt(MAX_TASKS), cpu: 1000, memMb: 100, estRuntimeMs: taskMs }] })
+      const job = encodeSingleStepJob(1 + random.nextInt(MAX_TASKS), taskMs, String(taskMs))
       // Which submissions are accepted doesn't matter here.
       const submission = this.deployment.ask('POST', `/queue/${id}`, job, 3000).then(() => {}, () => {}).finally(() => { this.#submissions.delete(submission) })
       this.#submissions.add(submission)
