--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -168,9 +168,11 @@
       child.kill(signal)
       return
     }
-    const ended = new Promise((resolve) => { child.once('exit', resolve) })
-    child.kill(signal)
-    await ended
+    if (child.exitCode === null && child.signalCode === null) {
+      const ended = new Promise((resolve) => { child.once('exit', resolve) })
+      child.kill(signal)
+      await ended
+    }
     this.#children.delete(name)
   }
 
