--- a/review/lib-2/proxy.mjs
+++ b/review/lib-2/proxy.mjs
@@ -6,6 +6,8 @@
   isCut = false
   /** For how long a start is kept back; 0 for not at all. */
   keepStartsMs = 0
+  /** Whether the worker is cut off once the next start has been handed on. */
+  cutsAfterStart = false
   #target
   #record
   #server
@@ -41,11 +43,15 @@
       }, this.keepStartsMs)
       return
     }
+    if (req.url === '/run-start' && this.cutsAfterStart) {
+      this.#record(`proxy hands on ${req.url} ${body}, then the worker is cut off`)
+      this.isCut = true
+    }
     this.#send(req, body, (status, text) => {
       if (this.isCut || res.destroyed) return
       res.writeHead(status, { 'content-type': 'application/json' })
       res.end(text)
-    }, () => { res.destroy() })
+    }, () => { if (!this.isCut) res.destroy() })
   }
 
   #send ({ method, url, headers }, body, onAnswer, onError = () => {}) {
