--- a/src/batch/leader/index.ts
+++ b/src/batch/leader/index.ts
@@ -104,7 +104,7 @@
     this.#scheduler = new BatchScheduler(context, this.#registry, stats, {
       isCordoned: (session) => drainer.isCordoned(session),
       getAllowedWorkers: (stepKey, queue, service) => this.#getAllowedWorkers(stepKey, queue, service),
-      getTicket: (stepKey, worker) => this.#advisor?.getTicket(stepKey, parseWorkerId(worker)) ?? null,
+      getTicket: (stepKey, worker) => this.#advisor?.getTicket(stepKey, worker) ?? null,
       placeWait
     }, this.#workNotifier, runTimes)
     // Until a new leader has looked at the pools, there are at least the machines of the workers in the state.
@@ -173,9 +173,8 @@
     const advice = queue?.advice ?? null
     if (advice === null || this.#advisor === null) return null
     const live = [...this.#registry.sessionsOf(service)].filter((session) => session.isLive && !session.record.isDraining)
-    const tickets = this.#advisor.getTickets({ stepKey, workerIds: live.map(({ record }) => record.id), decisionMs: advice.decisionMs, perWorkerMs: advice.perWorkerMs })
-    if (tickets === undefined) return undefined
-    return new Set(live.filter(({ record }) => tickets.has(record.id)).map(({ key }) => key))
+    const tickets = this.#advisor.getTickets({ stepKey, workers: live.map(({ key, record }) => ({ key, id: record.id })), decisionMs: advice.decisionMs, perWorkerMs: advice.perWorkerMs })
+    return tickets === undefined ? undefined : new Set(tickets.keys())
   }
 
   async #purgeEndedJobs (propose: ProposeBatch): Promise<void> {
@@ -194,7 +193,3 @@
   const { instance: ownInstance, members } = replica.status()
   return members.filter(({ instance }) => instance !== ownInstance).map(({ address, instance, confirmedAt }) => ({ address, confirmedAt: confirmedAt ?? Number.NEGATIVE_INFINITY, clock: replica.clockOf(instance) }))
 }
-
-function parseWorkerId (worker: string): string {
-  return worker.slice(0, worker.lastIndexOf('@'))
-}
