--- a/src/batch/scheduler/index.ts
+++ b/src/batch/scheduler/index.ts
@@ -12,6 +12,7 @@
 import { createPoolWorker } from '../poolWorker/index.js'
 import { planStarts, type PlannedStart, type PoolWorker, type WorkspaceGroup } from '../planStarts/index.js'
 import { RunEndRecorder } from '../runEndRecorder/index.js'
+import { RunStartRecorder } from '../runStartRecorder/index.js'
 import type { RunStats } from '../runStats/index.js'
 import type { RunTimes } from '../runTimes/index.js'
 import { StartOrder } from '../startOrder/index.js'
@@ -56,6 +57,7 @@
   readonly #copier: TaskCopier
   readonly #workNotifier: Notifier
   readonly #runEndRecorder: RunEndRecorder
+  readonly #runStartRecorder: RunStartRecorder
   readonly #useMeter = new UseMeter()
   readonly #capWatch: CapWatch
   /** Workers with placements that are proposed but not yet committed. */
@@ -78,6 +80,7 @@
     this.#registry = registry
     this.#copier = new TaskCopier(context, registry)
     this.#runEndRecorder = new RunEndRecorder(context, registry, new LostRuns(context.clock, context.state, registry), stats, this.#copier, runTimes)
+    this.#runStartRecorder = new RunStartRecorder(context.clock, context.state, () => registry.takeBegunRuns())
     this.#stats = stats
     this.demand = new DemandMeter(context, stats)
     this.#policies = policies
@@ -139,11 +142,12 @@
   async #startWaitingTasks (): Promise<void> {
     if (!this.#context.mayOrder()) return
     const placements = this.#planPlacements()
-    if (placements.length === 0) return
+    const started = this.#runStartRecorder.list(placements.length > 0)
+    if (placements.length === 0 && started.length === 0) return
     this.#workersWithPendingPlacements = new Set(placements.map(({ worker }) => worker))
-    const accepted = await this.#context.propose('place', { placements }).finally(() => { this.#workersWithPendingPlacements = new Set() }) as boolean[]
+    const accepted = await this.#context.propose('place', { placements, recordsStarts: true, started }).finally(() => { this.#workersWithPendingPlacements = new Set() }) as boolean[]
     this.#observeUse()
-    if (!this.#context.mayOrder()) this.#context.log.info('start.delayed', { count: placements.length, reason: 'the leader lease is not confirmed' })
+    if (placements.length > 0 && !this.#context.mayOrder()) this.#context.log.info('start.delayed', { count: placements.length, reason: 'the leader lease is not confirmed' })
     placements.forEach((placement, i) => { if (accepted[i] === true) this.#sendStart(placement) })
   }
 
--- a/src/batch/state/handlers.ts
+++ b/src/batch/state/handlers.ts
@@ -6,7 +6,7 @@
 import { findQueue, retireQueues } from './queues/index.js'
 import { countJobOf, retireWorkspaces } from './workspaces/index.js'
 import { formatTask, parseTask, workerKey, type TaskPosition } from '../types.js'
-import type { ActiveRun, BatchCommandOf, BatchCommandType, BatchData, RunEnd, JobRecord, StepRecord, TaskRecord, MaintenanceState, WorkerRecord } from './records.js'
+import type { ActiveRun, BatchCommandOf, BatchCommandType, BatchData, Placement, RunEnd, JobRecord, StepRecord, TaskRecord, MaintenanceState, WorkerRecord } from './records.js'
 
 /** Failures after which a task is given up whose queue had been removed before the state kept the settings of such queues. */
 const FALLBACK_MAX_ATTEMPTS = 4
@@ -59,24 +59,10 @@
     for (const end of ends) recordRunEnd(data, end, at, observer)
   },
 
-  place: (data, { placements, at }, observer) => placements.map(({ task, run, worker }) => {
-    const position = parseTask(task)
-    const job = position === null ? undefined : data.jobs.get(position.job)
-    const workerRecord = data.workers.get(worker)
-    if (position === null || job === undefined || job.state !== 'active' || workerRecord === undefined) return false
-    const record = ensureOccurrence(job, position.occurrence)[position.step]?.tasks[position.index]
-    if (record === undefined || record.isDone || run <= record.lastRun) return false
-    const active: ActiveRun = { run, worker, placedAt: at }
-    record.active.push(active)
-    record.lastRun = run
-    observer.onRunAdded(worker, task, active)
-    recordPlacement(data, workerRecord, at)
-    if (!job.hasStarted) {
-      job.hasStarted = true
-      observer.onJobStarted(job)
-    }
-    return true
-  }),
+  place: (data, { placements, recordsStarts = false, started = [], at }, observer) => {
+    for (const run of started) recordStart(data, run, observer)
+    return placements.map((placement) => recordPlacedRun(data, placement, at, recordsStarts, observer))
+  },
 
   enrol: (data, { workers, at }, observer) => {
     for (const worker of workers) {
@@ -133,6 +119,41 @@
   }
 }
 
+/** Records a placement; returns false when the run may not be placed any more. */
+function recordPlacedRun (data: BatchData, { task, run, worker }: Placement, at: Millis, recordsStarts: boolean, observer: StateObserver): boolean {
+  const position = parseTask(task)
+  const job = position === null ? undefined : data.jobs.get(position.job)
+  const workerRecord = data.workers.get(worker)
+  if (position === null || job === undefined || job.state !== 'active' || workerRecord === undefined) return false
+  const record = ensureOccurrence(job, position.occurrence)[position.step]?.tasks[position.index]
+  if (record === undefined || record.isDone || run <= record.lastRun) return false
+  const active: ActiveRun = { run, worker, placedAt: at }
+  record.active.push(active)
+  record.lastRun = run
+  observer.onRunAdded(worker, task, active)
+  recordPlacement(data, workerRecord, at)
+  // Earlier builds never tell that a run has begun.
+  if (!recordsStarts) markStarted(job, observer)
+  return true
+}
+
+/** Records that a placed run has begun, unless its end was recorded before. */
+function recordStart (data: BatchData, { task, run, worker }: Placement, observer: StateObserver): void {
+  const position = parseTask(task)
+  const job = position === null ? undefined : data.jobs.get(position.job)
+  const record = position === null ? undefined : job?.occurrences.get(position.occurrence)?.[position.step]?.tasks[position.index]
+  const active = record?.active.find((other) => other.run === run && other.worker === worker)
+  if (job === undefined || active === undefined) return
+  active.hasBegun = true
+  markStarted(job, observer)
+}
+
+function markStarted (job: JobRecord, observer: StateObserver): void {
+  if (job.hasStarted || job.state !== 'active') return
+  job.hasStarted = true
+  observer.onJobStarted(job)
+}
+
 function hasActiveRun (job: JobRecord): boolean {
   for (const steps of job.occurrences.values()) {
     for (const step of steps) if (step.tasks.some((task) => task.active.length > 0)) return true
@@ -177,6 +198,7 @@
     }
   }
   if (job.state !== 'active') return
+  if (hasBegun(end)) markStarted(job, observer)
   if (recordCrashEvidence(data, job, task, end, at)) {
     endJob(job, 'failed', at, observer)
     return
@@ -192,6 +214,11 @@
   }
 }
 
+/** Whether a worker has listed the end of a run, so that it had begun there; other ends are concluded by the leader. */
+function hasBegun ({ outcome, evidence }: RunEnd): boolean {
+  return outcome !== 'refused' && outcome !== 'lost' && evidence === undefined
+}
+
 /** Marks a task as done, or all tasks of its gang, and ends the job after its last one. */
 function completeTask (job: JobRecord, position: TaskPosition, at: Millis, observer: StateObserver): void {
   const steps = job.occurrences.get(position.occurrence) as StepRecord[]
--- a/src/batch/state/index.ts
+++ b/src/batch/state/index.ts
@@ -7,7 +7,7 @@
 import { WorkerIndex } from './workerIndex/index.js'
 import { WorkspaceUse } from '../../workspaces/workspaceUse/index.js'
 
-/** Number of active jobs without any placement, by queue key. */
+/** Number of active jobs of which no run has begun, by queue key. */
 type PendingCounts = Map<string, number>
 
 /** Applies commands to {@link BatchData}, and writes and restores its snapshots. */
--- a/src/batch/state/records.ts
+++ b/src/batch/state/records.ts
@@ -11,6 +11,8 @@
   /** Key of the worker's incarnation. */
   readonly worker: string
   readonly placedAt: Millis
+  /** Set once its worker has confirmed that it has begun; missing before, and in snapshots of earlier builds. */
+  hasBegun?: true
 }
 
 /** One task of one occurrence. */
@@ -50,7 +52,7 @@
   readonly isBeyondRate: boolean
   readonly acceptedAt: Millis
   state: 'active' | 'completed' | 'failed' | 'cancelled'
-  /** Whether a run of one of its tasks was ever placed. */
+  /** Whether a run of one of its tasks has begun on a worker. Entries of earlier builds set it with the first placement. */
   hasStarted: boolean
   /** Whether a worker has crashed under one of its tasks and no worker has survived a run of that task since. */
   isSuspect: boolean
@@ -151,13 +153,24 @@
   readonly worker: string
 }
 
+/** Places runs on workers, and records which runs that were placed before have begun. */
+export interface PlaceCommand {
+  readonly type: 'place'
+  readonly at: Millis
+  readonly placements: readonly Placement[]
+  /** Whether the build that placed them also records that they have begun; earlier builds don't. */
+  readonly recordsStarts?: true
+  /** Placed runs that their workers have confirmed. */
+  readonly started?: readonly Placement[]
+}
+
 /** Commands of the log, by name. */
 export type BatchCommand =
   | { readonly type: 'configure', readonly at: Millis, readonly config: QueueConfig }
   | { readonly type: 'accept', readonly at: Millis, readonly jobs: ReadonlyArray<JobSpec & { readonly queue: string, readonly service: string, readonly workspace?: string }> }
   | { readonly type: 'cancel', readonly at: Millis, readonly ids: readonly string[] }
   | { readonly type: 'end', readonly at: Millis, readonly ends: readonly RunEnd[] }
-  | { readonly type: 'place', readonly at: Millis, readonly placements: readonly Placement[] }
+  | PlaceCommand
   | { readonly type: 'enrol', readonly at: Millis, readonly workers: readonly WorkerRecord[] }
   | { readonly type: 'dismiss', readonly at: Millis, readonly workers: readonly string[] }
   | { readonly type: 'startWave', readonly at: Millis, readonly wave: { readonly id: number, readonly machines: readonly string[], readonly deadlineMs: Millis, readonly cap: number } }
--- a/src/workers/registry/index.ts
+++ b/src/workers/registry/index.ts
@@ -1,7 +1,7 @@
 /** Keeps the workers that the leader knows, with a session for each incarnation. */
 import type { Clock, Millis } from '../../clock/index.js'
 import type { TermContext } from '../../batch/leader/context.js'
-import type { WorkerRecord } from '../../batch/state/records.js'
+import type { Placement, WorkerRecord } from '../../batch/state/records.js'
 import { countRestarts } from '../../batch/state/incarnations.js'
 import { workerKey, type WorkerReport } from '../../batch/types.js'
 import { IMMEDIATE_POLLS_PER_CALLER } from '../constants.js'
@@ -54,6 +54,7 @@
   /** Sessions with run ends to commit. */
   #sessionsWithEnds = new Set<WorkerSession>()
   #hasNewlyGone = false
+  #begunRuns: Placement[] = []
 
   /**
    * @param context - shared dependencies of the term
@@ -122,6 +123,13 @@
     return sessions
   }
 
+  /** Removes and returns the runs that workers have confirmed since the last call. */
+  takeBegunRuns (): readonly Placement[] {
+    const begunRuns = this.#begunRuns
+    this.#begunRuns = []
+    return begunRuns
+  }
+
   /** Returns whether a worker has become known to be gone since the last call. */
   takeNewlyGone (): boolean {
     const hasNewlyGone = this.#hasNewlyGone
@@ -303,6 +311,7 @@
       earlierIncarnationWith: (task, run) => this.#findEarlierIncarnation(record, task, run),
       onChange: this.#onChange,
       onRunEnd: () => { this.#sessionsWithEnds.add(session) },
+      onRunBegun: (task, run) => { this.#begunRuns.push({ task, run, worker: key }) },
       onGone: () => { this.#hasNewlyGone = true },
       pollGate: this.#pollGate,
       idlePollWaitMs: () => computeIdlePollWait(this.#sessions.size, this.#connector.countCallers())
--- a/src/workers/runControl/index.ts
+++ b/src/workers/runControl/index.ts
@@ -66,7 +66,7 @@
         order.phase = 'started'
         order.startedAt = order.settledAt
         order.runningSinceMs ??= answer.clockMs
-        order.isConfirmed ||= source === 'same'
+        if (source === 'same') this.#orders.confirm(startOrder.task, order)
         this.consecutiveRefusals = 0
       }
     } catch (err) {
--- a/src/workers/runOrder/index.ts
+++ b/src/workers/runOrder/index.ts
@@ -54,6 +54,14 @@
 
 /** The leader's records of the last run of each task on one worker, by task. */
 export class RunOrders extends Map<string, RunOrder> {
+  readonly #onConfirmed: (task: string, run: number) => void
+
+  /** @param onConfirmed - called when the incarnation that a run was placed on has confirmed it */
+  constructor (onConfirmed: (task: string, run: number) => void = () => {}) {
+    super()
+    this.#onConfirmed = onConfirmed
+  }
+
   /**
    * Returns the record of a run, and creates it when there is none or only that of another run.
    *
@@ -70,6 +78,18 @@
     return order
   }
 
+  /**
+   * Records that the incarnation which a run was placed on has listed it or answered its start.
+   *
+   * @param task - name of the task
+   * @param order - record of the run
+   */
+  confirm (task: string, order: RunOrder): void {
+    if (order.isConfirmed) return
+    order.isConfirmed = true
+    this.#onConfirmed(task, order.run)
+  }
+
   /**
    * Records what the worker has reported about a run.
    *
@@ -80,7 +100,7 @@
   observe ({ task, run, percent, load, checkpoint }: RunningTask, now: Millis, workerClockMs: Millis): RunOrder {
     const order = this.ensure(task, run, now)
     order.runningSinceMs ??= workerClockMs
-    order.isConfirmed = true
+    this.confirm(task, order)
     if (workerClockMs - order.runningSinceMs >= SURVIVAL_MS) order.hasSurvived = true
     if (order.phase === 'unclear') {
       order.phase = 'started'
--- a/src/workers/session/index.ts
+++ b/src/workers/session/index.ts
@@ -22,7 +22,7 @@
 /** Stays in contact with one incarnation of a worker until it is gone or the term ends. */
 export class WorkerSession {
   /** The leader's record of the last run of each task on the worker, by task. */
-  readonly orders = new RunOrders()
+  readonly orders: RunOrders
   /** Whether a later incarnation under the same id has answered or reported, which may have ended since. */
   isReincarnated = false
   /** Why the worker is known to be gone, or null. */
@@ -59,6 +59,7 @@
     this.#calls = calls
     this.#context = context
     this.#openedAt = context.clock.now()
+    this.orders = new RunOrders(context.onRunBegun)
     this.contact = new WorkerContact(context.clock)
     this.poller = new WorkerPoller(calls, context, record.born)
     this.#lease = new LeaseClock(context.inheritedLeaseMs, context.clock.now())
--- a/src/workers/session/types.ts
+++ b/src/workers/session/types.ts
@@ -26,6 +26,8 @@
   readonly findObstacle: (task: string, run: number) => StartObstacle | null
   /** Returns the earlier incarnation that a run was placed on, or null: its start may have reached this incarnation. */
   readonly earlierIncarnationWith: (task: string, run: number) => string | null
+  /** Called when the worker has confirmed that a run that was placed on it has begun. */
+  readonly onRunBegun: (task: string, run: number) => void
   /** Called when there may be something to commit or to plan. */
   readonly onChange: () => void
   /** Called when a run end was recorded that {@link WorkerSession.takeRunEnds} returns. */
