--- a/src/workers/findLossBasis/index.ts
+++ b/src/workers/findLossBasis/index.ts
@@ -18,9 +18,10 @@
  * Returns what the incarnation that a run was placed on has told about it.
  *
  * @param order - the leader's record of the run on that worker, if any
+ * @param hasBegun - whether the state has it that the run has begun there, which an earlier leader may have recorded
  */
-export function startStatusOf (order: RunOrder | undefined): StartStatus {
-  return order?.isConfirmed === true ? 'confirmed' : 'open'
+export function startStatusOf (order: RunOrder | undefined, hasBegun: boolean): StartStatus {
+  return hasBegun || order?.isConfirmed === true ? 'confirmed' : 'open'
 }
 
 /**
--- a/src/workers/lostRunFinder/index.ts
+++ b/src/workers/lostRunFinder/index.ts
@@ -51,15 +51,13 @@
     const longestLeaseMs = computeLongestDuration(this.#maxLeaseMs)
     const { state } = this.#context
     const lost: LostRun[] = []
-    for (const [task, { run }] of state.runsOn(session.key)) {
+    for (const [task, { run, hasBegun = false }] of state.runsOn(session.key)) {
       const order = session.orders.get(task)
       const orderOfRun = order?.run === run ? order : undefined
-      const start = next !== undefined && next.token > session.token && next.poller.excludesEarlier(task, run) ? 'notListedNext' : startStatusOf(orderOfRun)
-      // A long-running task has to run again within 9 s, which leaves no time to wait for a late call or for what an earlier leader has sent.
+      const start = next !== undefined && next.token > session.token && next.poller.excludesEarlier(task, run) ? 'notListedNext' : startStatusOf(orderOfRun, hasBegun)
+      // A long-running task has to run again within 9 s, which leaves no time to wait for a late call.
       const isLasting = this.#isLasting(task)
-      const isUnknownNextExpired = isLasting
-        ? orderOfRun === undefined || orderOfRun.sentAt === Number.NEGATIVE_INFINITY || session.isUnknownNextExpired(orderOfRun, MAX_LASTING_WAIT_MS)
-        : session.isUnknownNextExpired(orderOfRun)
+      const isUnknownNextExpired = session.isUnknownNextExpired(orderOfRun, isLasting ? MAX_LASTING_WAIT_MS : undefined)
       const maxWaitMs = isLasting ? Math.min(longestLeaseMs, LONG_LEASE_MS) : MAX_LATE_CALL_MS + longestLeaseMs
       const basis = findLossBasis({ ...incarnation, isUnknownNextExpired, maxWaitMs }, start)
       if (basis !== null) lost.push({ task, run, basis })
--- a/src/workers/lostRunFinder/test.ts
+++ b/src/workers/lostRunFinder/test.ts
@@ -61,4 +61,20 @@
     expect(await waitForLoss('w@1', 30_000)).to.be.within(MAX_LASTING_WAIT_MS - 200, MAX_LASTING_WAIT_MS + 200)
     stop()
   })
+
+  for (const { hasBegun, rule, range } of [
+    { hasBegun: false, rule: 'waits for the longest lease when the earlier leader had not recorded that the run has begun (TWICE)', range: [6000 / SLOWEST_CLOCK_RATE, 7000] },
+    { hasBegun: true, rule: 'waits for a lease only when it had (LOST)', range: [2000, 4000] }
+  ] as const) {
+    it(`frees a run of a worker that was lost with the leader: ${rule}`, async () => {
+      const { waitForLoss, stop } = createTerm([createWorker('w')], 'w@1', (_record, clock) => ({
+        poll: async (_req: WorkerPollRequest, timeoutMs: number) => {
+          await clock.sleep(timeoutMs)
+          throw new Error('no answer')
+        }
+      }), 500, 0, { isLasting: true, hasBegun, maxLeaseMs: 6000 })
+      expect(await waitForLoss('w@1', 30_000)).to.be.within(range[0], range[1])
+      stop()
+    })
+  }
 })
