--- a/src/batch/candidates/index.ts
+++ b/src/batch/candidates/index.ts
@@ -11,7 +11,10 @@
 /** Delay before the next run of a task whose last run did not complete it. */
 const RETRY_DELAY_MS: Millis = 30
 
-/** Delay before the next run of a task that may have crashed its worker: the report of the worker's next incarnation tells whether it has. */
+/**
+ * Delay before the next run of a task that may have crashed its worker: the report of the worker's next incarnation tells whether it has. Not for
+ * long-running tasks, which have to run again in time.
+ */
 const SUSPECT_RETRY_DELAY_MS: Millis = 500
 
 /**
@@ -101,6 +104,6 @@
  */
 function hasRetryDelayPassed (task: TaskRecord, step: Step, wall: Millis): boolean {
   const elapsedMs = wall - task.lastEndAt
-  const delayMs = task.crashes > 0 ? SUSPECT_RETRY_DELAY_MS : step.isLasting ? RESTART_DELAY_MS : RETRY_DELAY_MS
+  const delayMs = step.isLasting ? RESTART_DELAY_MS : task.crashes > 0 ? SUSPECT_RETRY_DELAY_MS : RETRY_DELAY_MS
   return elapsedMs < 0 || elapsedMs >= delayMs
 }
--- a/src/batch/candidates/test.ts
+++ b/src/batch/candidates/test.ts
@@ -27,6 +27,12 @@
     expect(listTasks(job, NOW + 300)).to.deep.equal(['0.0.0', '0.0.1'])
   })
 
+  it('holds no long-running task that may have crashed its worker, since the lease that it was lost with gave the worker that time (LOST)', () => {
+    const job = createRecord({ steps: [createStep({ isLasting: true })] })
+    Object.assign(getTask(job, 0, 0), { crashes: 1, lastEndAt: NOW - 100 })
+    expect(listTasks(job)).to.deep.equal(['0.0.0'])
+  })
+
   it('holds the suspected tasks of a job back while one is on trial, and no others', () => {
     const job = createRecord({ steps: [createStep({ count: 3 }), createStep({ count: 2, isGang: true })] })
     Object.assign(getTask(job, 0, 1), { crashes: 1 })
