Name the reading of the clock in RunStartRecorder

Found when the change was read once more: the time of the look was called after the confirmation that it is compared with. No change of behaviour; the 14 tests of the module pass.

--- a/src/batch/runStartRecorder/index.ts
+++ b/src/batch/runStartRecorder/index.ts
@@ -35,12 +35,12 @@
    * @param hasCommit - whether something else is committed now
    */
   list (hasCommit: boolean): Placement[] {
-    const confirmedAt = this.#clock.now()
-    for (const start of this.#takeConfirmed()) this.#unrecorded.set(start.task, { start, confirmedAt })
+    const now = this.#clock.now()
+    for (const start of this.#takeConfirmed()) this.#unrecorded.set(start.task, { start, confirmedAt: now })
     let isDue = hasCommit
-    for (const [task, { start, confirmedAt: since }] of this.#unrecorded) {
+    for (const [task, { start, confirmedAt }] of this.#unrecorded) {
       if (!this.#isNeeded(start)) this.#unrecorded.delete(task)
-      else if (confirmedAt - since >= MAX_DELAY_MS) isDue = true
+      else if (now - confirmedAt >= MAX_DELAY_MS) isDue = true
     }
     return isDue ? [...this.#unrecorded.values()].map(({ start }) => start) : []
   }
