--- a/src/batch/runStartRecorder/test.ts
+++ b/src/batch/runStartRecorder/test.ts
@@ -14,6 +14,7 @@
 const getJob = (state: BatchState): JobRecord => state.data.jobs.get(JOB_ID) as JobRecord
 
 describe('starts of runs in the replicated state', () => {
+  // Clients were told that jobs had started which were placed on silent workers and had begun nowhere.
   it('counts a job as pending until one of its runs has begun (MIXED, review case 10)', () => {
     const { state, accept, apply } = bind()
     accept()
--- a/src/workers/lostRunFinder/test.ts
+++ b/src/workers/lostRunFinder/test.ts
@@ -45,6 +45,7 @@
     stop()
   })
 
+  // It was freed with the lease on the clock of the earlier incarnation, after 3 s.
   it('frees a long-running task whose start was not answered after the longest lease that an unknown next incarnation can hold (TWICE)', async () => {
     const { clock, start, waitForLoss, worker, stop } = createUnheardWorker(6000)
     await clock.advance(300)
