--- a/review/lib-3/case.mjs
+++ b/review/lib-3/case.mjs
@@ -181,6 +181,35 @@
   }
 }
 
+const FINISH_MS = 14_000
+const IDLE_MS = 3000
+const SAMPLE_MS = 250
+
+// Waits for finish_s after the end of the traffic and lists the jobs that are not completed and have nothing running for 3 s, while there is room for
+// a task of theirs twice over and under half of the pool is in use. cpuOf: what a task needs, by its spec.
+export async function findIdleJobs (world, jobs, { cpuOf, taskCpu, workerCpu }) {
+  world.record({ what: 'client.trafficEnds', accepted: jobs.length })
+  await sleep(FINISH_MS)
+  const idle = new Map(jobs.map((id) => [id, 0]))
+  const samples = Math.ceil(IDLE_MS / SAMPLE_MS) + 1
+  for (let i = 0; i < samples; i++) {
+    const running = world.workers.filter(({ isDown }) => !isDown).flatMap((worker) => [...worker.running.values()])
+    const used = running.reduce((sum, { spec }) => sum + cpuOf(spec), 0)
+    const all = world.workers.filter(({ isDown }) => !isDown).length * workerCpu
+    const hasRoom = all - used >= 2 * taskCpu && used < all / 2
+    for (const id of jobs) if (hasRoom && !running.some(({ task }) => task.startsWith(id))) idle.set(id, idle.get(id) + 1)
+    world.record({ what: 'workers.load', used, of: all })
+    await sleep(SAMPLE_MS)
+  }
+  const found = []
+  for (const id of jobs) {
+    const state = await world.show(id)
+    world.record({ what: 'client.shown', id, state })
+    if (state !== 'completed' && idle.get(id) === samples) found.push(`job ${id} is shown as ${state} and had nothing running for ${IDLE_MS} ms, with room for it`)
+  }
+  return found
+}
+
 // Lists pairs of runs of one task that ran at the same time on workers that were up.
 export function findDoubleRuns (events) {
   const open = new Map()
--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -30,7 +30,7 @@
   #cutUntil = 0
   #lapsedSeq = 0
 
-  // id, address, service, machine, rack, control (addresses), taskMs (of a task's spec), record (receives what happens)
+  // id, address, service, machine, rack, control (addresses), taskMs and fails (of a task's spec), record (receives what happens)
   constructor (options) {
     this.#options = options
     this.#server = createServer((req, res) => {
@@ -98,7 +98,7 @@
     if (now > this.#leaseEnd) this.#lapsedSeq = this.#endCount
     for (const run of [...this.running.values()]) {
       if (now > this.#leaseEnd) this.#end(run, 'lapsed')
-      else if (now >= Math.min(run.stopsAt, run.endsAt)) this.#end(run, run.stopsAt < run.endsAt ? 'stopped' : 'done')
+      else if (now >= Math.min(run.stopsAt, run.endsAt)) this.#end(run, run.stopsAt < run.endsAt ? 'stopped' : this.#options.fails?.(run.spec) === true ? 'failed' : 'done')
     }
   }
 
